--- /dev/null
+++ b/crates/core/src/host/handover.rs
@@ -0,0 +1,277 @@
+//! Control and shards that go from one host to another.
+
+use std::time::Duration;
+
+use super::{AVOIDANCE, Host};
+use crate::control::Phase;
+use crate::ids::{Epoch, HostId, ServerKey, Token};
+use crate::ledger::Ledger;
+use crate::log::Code;
+use crate::message::{LedgerPart, Message};
+use crate::names::DomainName;
+use crate::record::{ControlRecord, DomainRecord};
+use crate::time::Time;
+
+/// Time within which a hand-over has to be taken.
+const ANSWER: Duration = Duration::from_millis(300);
+
+/// Records of a shard that another host handed over.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    pub(super) epoch: Epoch,
+    pub(super) ledger: Ledger,
+}
+
+/// Control of a server on its way to another host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outgoing {
+    /// The other host; `None` gives control up to whoever claims it.
+    to: Option<HostId>,
+    id: u64,
+    step: Step,
+    since: Time,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Step {
+    Draining,
+    Offered,
+    Taken,
+}
+
+impl Host {
+    /// Starts to hand control to the hosts that should have it.
+    pub(super) fn share_control(&mut self) {
+        let emptying = self.leaving || self.is_host_out();
+        let servers: Vec<ServerKey> = self.controls.keys().copied().collect();
+        for server in servers {
+            if self.outgoing.contains_key(&server) || !self.may_hand_over(server) {
+                continue;
+            }
+            let preferred = self
+                .preferred_for(server)
+                .filter(|host| *host != self.settings.id);
+            let to = match preferred {
+                None if emptying => self.any_heir(),
+                other => other,
+            };
+            if to.is_none() && !self.leaving {
+                continue;
+            }
+            self.begin_handover(server, to);
+            if !emptying {
+                return;
+            }
+        }
+    }
+
+    pub(super) fn advance_handovers(&mut self) {
+        let servers: Vec<ServerKey> = self.outgoing.keys().copied().collect();
+        for server in servers {
+            let Some(outgoing) = self.outgoing.get(&server).copied() else {
+                continue;
+            };
+            match outgoing.step {
+                Step::Draining if self.is_idle(server) => self.offer(server, outgoing),
+                Step::Offered if self.now.since(outgoing.since) > ANSWER => {
+                    self.abort_handover(server);
+                }
+                Step::Draining | Step::Offered | Step::Taken => {}
+            }
+        }
+    }
+
+    /// Puts control that was handed over into a failure domain's record.
+    pub(super) fn plan_handovers(&self, name: &DomainName, record: &mut DomainRecord) {
+        for (server, outgoing) in &self.outgoing {
+            if outgoing.step != Step::Taken || self.server_domain(*server).as_ref() != Some(name) {
+                continue;
+            }
+            let server_name = self.view.servers.name(*server);
+            let Some(control) = record.control.get(server_name).copied() else {
+                continue;
+            };
+            if control.host != self.settings.id {
+                continue;
+            }
+            match outgoing.to {
+                Some(host) if record_knows(self, record, host) => {
+                    let next = ControlRecord {
+                        host,
+                        token: Token(control.token.0 + 1),
+                        released: true,
+                    };
+                    record.control.insert(server_name.to_owned(), next);
+                }
+                Some(_) => {}
+                None => {
+                    record.control.remove(server_name);
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_handover(
+        &mut self,
+        from: HostId,
+        id: u64,
+        server: &str,
+        control: bool,
+        shards: &[(u32, Epoch)],
+        part: LedgerPart,
+    ) {
+        let key = self.view.servers.find(server);
+        let ready = key.is_some_and(|key| self.is_ready_for(key, control));
+        if let Some(key) = key.filter(|_| ready) {
+            self.keep_incoming(key, shards, part);
+        }
+        self.send(from, Message::HandoverTaken { id, taken: ready });
+    }
+
+    pub(super) fn take_handover_answer(&mut self, from: HostId, id: u64, taken: bool) {
+        let found = self
+            .outgoing
+            .iter()
+            .find(|(_, outgoing)| outgoing.id == id && outgoing.to == Some(from))
+            .map(|(server, outgoing)| (*server, outgoing.step));
+        let Some((server, step)) = found else {
+            self.take_move_answer(from, id, taken);
+            return;
+        };
+        if step != Step::Offered {
+            return;
+        }
+        if !taken {
+            self.abort_handover(server);
+            return;
+        }
+        self.set_step(server, Step::Taken);
+        self.sync_membership();
+    }
+
+    pub(super) fn begin_leaving(&mut self) {
+        if self.leaving {
+            return;
+        }
+        self.leaving = true;
+        let name = self.settings.name.clone();
+        self.log(Code::Leaving, name, "");
+        self.share_control();
+        self.sync_membership();
+    }
+
+    pub(super) fn finish_leaving(&mut self) {
+        let idle = self.controls.is_empty() && self.callers.is_empty();
+        if !self.leaving || self.left || !idle || self.on_record {
+            return;
+        }
+        self.left = true;
+        let name = self.settings.name.clone();
+        self.log(Code::Left, name, "");
+        self.effects.push(crate::event::Effect::Stopped);
+    }
+
+    fn may_hand_over(&self, server: ServerKey) -> bool {
+        let avoided = self.avoided.contains_key(&server);
+        self.controls.get(&server).is_some_and(|control| {
+            let settled = matches!(control.phase, Phase::Active | Phase::Lost);
+            settled && control.moving.is_none() && !avoided
+        })
+    }
+
+    fn any_heir(&self) -> Option<HostId> {
+        let successor = self.successor();
+        successor.or_else(|| self.region_peers().first().copied())
+    }
+
+    fn begin_handover(&mut self, server: ServerKey, to: Option<HostId>) {
+        let outgoing = Outgoing {
+            to,
+            id: self.draw_id(),
+            step: Step::Draining,
+            since: self.now,
+        };
+        self.outgoing.insert(server, outgoing);
+        if let Some(control) = self.controls.get_mut(&server) {
+            control.phase = Phase::Leaving;
+        }
+        self.bounce_waiting(server, |_| true);
+        self.advance_handovers();
+    }
+
+    fn is_idle(&self, server: ServerKey) -> bool {
+        let now = self.now;
+        self.controls.get(&server).is_some_and(|control| {
+            let ghosts = control.ghosts.iter().any(|end| *end > now);
+            control.running.is_empty() && !ghosts && control.call.is_none()
+        })
+    }
+
+    fn offer(&mut self, server: ServerKey, outgoing: Outgoing) {
+        let Some(to) = outgoing.to else {
+            self.set_step(server, Step::Taken);
+            self.sync_membership();
+            return;
+        };
+        self.set_step(server, Step::Offered);
+        let owned = self.shards_of(server);
+        let shards = self.view.owned_by(server).into_iter().collect();
+        let message = Message::Handover {
+            id: outgoing.id,
+            server: self.server_name(server),
+            control: true,
+            shards,
+            ledger: self.ledger_part(&owned),
+        };
+        self.send(to, message);
+    }
+
+    fn abort_handover(&mut self, server: ServerKey) {
+        self.outgoing.remove(&server);
+        self.avoided.insert(server, self.now + AVOIDANCE);
+        if let Some(control) = self.controls.get_mut(&server) {
+            control.phase = Phase::Active;
+            control.unsure = true;
+        }
+    }
+
+    fn set_step(&mut self, server: ServerKey, step: Step) {
+        if let Some(outgoing) = self.outgoing.get_mut(&server) {
+            outgoing.step = step;
+            outgoing.since = self.now;
+        }
+    }
+
+    /// Whether this host takes control of a server, or shards for one that it controls.
+    fn is_ready_for(&self, server: ServerKey, control: bool) -> bool {
+        if self.leaving || !self.is_valid() || self.is_host_out() {
+            return false;
+        }
+        let known = self.controls.get(&server);
+        control || known.is_some_and(|control| control.phase == Phase::Active)
+    }
+
+    fn keep_incoming(&mut self, server: ServerKey, shards: &[(u32, Epoch)], part: LedgerPart) {
+        let Some(info) = self.view.servers.get(server) else {
+            return;
+        };
+        let (entry, region) = (info.entry, info.region);
+        let mut ledger = self.read_part(part);
+        for (index, epoch) in shards {
+            let shard = self.shard(entry, region, *index);
+            let mut one = Ledger::default();
+            one.adopt(shard, &mut ledger);
+            if one.is_open(shard) {
+                let incoming = Incoming {
+                    epoch: *epoch,
+                    ledger: one,
+                };
+                self.incoming.insert(shard, incoming);
+            }
+        }
+    }
+}
+
+fn record_knows(host: &Host, record: &DomainRecord, id: HostId) -> bool {
+    record.hosts.contains_key(&id) || host.view.host(id).is_some()
+}
--- /dev/null
+++ b/crates/core/src/host/leases.rs
@@ -0,0 +1,416 @@
+//! Control of backend servers and the leases on their shards.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::Host;
+use crate::catalogue::Limits;
+use crate::control::{Control, Phase, RegisterCall};
+use crate::event::{Effect, Grant, RegisterResult, RegisterState};
+use crate::ids::{CallId, Epoch, ServerKey, Token};
+use crate::limiter::Limiter;
+use crate::log::Code;
+use crate::message::Message;
+use crate::queue::Queue;
+use crate::time::Time;
+use crate::timer::Wake;
+
+/// Time without an answer from a register after which a gained server counts as lost.
+const UNHEARD: Duration = Duration::from_millis(250);
+/// Time after an order against a server during which it may still be obeyed.
+const OUT_GRACE: Duration = Duration::from_millis(2_500);
+
+/// How this host came to control a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Gain {
+    /// Nobody controlled it before.
+    Claimed,
+    /// The last controller handed it over.
+    Released,
+    /// The last controller was silent.
+    Taken,
+}
+
+impl Host {
+    /// Begins and ends control of servers as the records say.
+    pub(super) fn sync_controls(&mut self) {
+        let id = self.settings.id;
+        let lost: Vec<ServerKey> = self
+            .controls
+            .keys()
+            .copied()
+            .filter(|server| !self.is_recorded(*server, id))
+            .collect();
+        for server in lost {
+            self.drop_control(server);
+        }
+        let gained: Vec<ServerKey> = self
+            .view
+            .servers
+            .iter()
+            .map(|(server, _)| server)
+            .filter(|server| !self.controls.contains_key(server))
+            .filter(|server| self.view.controller(*server) == Some(id))
+            .collect();
+        for server in gained {
+            self.gain_control(server);
+        }
+        self.close_shards();
+        self.resize_limits();
+        self.refresh_grants();
+    }
+
+    /// Grants shards that have come to a server, without waiting for its next renewal.
+    pub(super) fn refresh_grants(&mut self) {
+        let servers: Vec<ServerKey> = self.controls.keys().copied().collect();
+        for server in servers {
+            let wanted = self.wanted_shards(server);
+            let stale = self.controls.get(&server).is_some_and(|control| {
+                control.phase == Phase::Active && !control.unsure && control.granted != wanted
+            });
+            if stale {
+                self.call_register(server);
+            }
+        }
+    }
+
+    pub(super) fn renew(&mut self, server: ServerKey) {
+        if !self.controls.contains_key(&server) {
+            return;
+        }
+        let period = self.timing().renewal;
+        self.timers.subscribe(self.now + period, Wake::Renew(server));
+        self.touch_placement(server);
+        self.settle_phase(server);
+        self.call_register(server);
+        self.pump(server);
+    }
+
+    pub(super) fn take_register_result(&mut self, call: CallId, result: RegisterResult) {
+        let Some(server) = self.servers_by_call.remove(&call) else {
+            return;
+        };
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        let Some(open) = control.call.take_if(|open| open.call == call) else {
+            return;
+        };
+        let offered = std::mem::take(&mut control.offered);
+        match result {
+            RegisterResult::State(state) => self.take_state(server, open, offered, state),
+            RegisterResult::Fenced(token) => self.take_fence(server, token),
+            RegisterResult::Unreachable => {
+                control.unsure = true;
+                self.confirm_crash(server);
+            }
+            RegisterResult::Failed => {
+                control.unsure = true;
+                if let Some(expires) = open.expires {
+                    control.lease_until = control.lease_until.max(expires);
+                    let shards: BTreeSet<u32> = offered.into_keys().collect();
+                    control.unconfirmed.push((expires, shards));
+                }
+            }
+        }
+        self.settle_phase(server);
+        self.advance_moves();
+        self.pump(server);
+    }
+
+    /// Remembers since when operators want a server idle.
+    pub(super) fn note_orders(&mut self) {
+        let now = self.now;
+        let members: Vec<ServerKey> = self.view.servers.iter().map(|(key, _)| key).collect();
+        for server in members {
+            if self.view.is_eligible(server) {
+                self.out_since.remove(&server);
+            } else {
+                self.out_since.entry(server).or_insert(now);
+            }
+        }
+    }
+
+    /// Whether an order against the server has stood long enough to refuse its work.
+    pub(super) fn is_shut(&self, server: ServerKey) -> bool {
+        let since = self.out_since.get(&server);
+        since.is_some_and(|since| self.now.since(*since) > OUT_GRACE)
+    }
+
+    /// Whether the record still gives this host the control that it has.
+    fn is_recorded(&self, server: ServerKey, id: crate::ids::HostId) -> bool {
+        let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
+        let Some(info) = self.view.servers.get(server) else {
+            return false;
+        };
+        let domain = self.view.domain(&info.spec.domain);
+        domain
+            .and_then(|kept| kept.record.control.get(&info.spec.name))
+            .is_some_and(|record| record.host == id && record.token <= token)
+    }
+
+    /// The shards that the next grant should carry.
+    fn wanted_shards(&self, server: ServerKey) -> BTreeMap<u32, Epoch> {
+        let mut shards = self.view.owned_by(server);
+        if let Some(moving) = self.controls.get(&server).and_then(|c| c.moving.as_ref())
+            && moving.step != crate::control::MoveStep::Draining
+        {
+            shards.retain(|index, _| !moving.shards.contains_key(index));
+        }
+        shards
+    }
+
+    fn gain_control(&mut self, server: ServerKey) {
+        let Some(info) = self.view.servers.get(server).cloned() else {
+            return;
+        };
+        let Some(limits) = self.limits_of(server) else {
+            return;
+        };
+        let domain = self.view.domain(&info.spec.domain);
+        let Some(record) = domain.and_then(|kept| kept.record.control.get(&info.spec.name)) else {
+            return;
+        };
+        let token = record.token;
+        let gain = if self.claimed.remove(&server) {
+            Gain::Claimed
+        } else if record.released {
+            Gain::Released
+        } else {
+            Gain::Taken
+        };
+        let settled = match gain {
+            Gain::Claimed | Gain::Released => self.now,
+            Gain::Taken => self.takeover_wait(),
+        };
+        let start = if info.spec.checks { self.now } else { settled };
+        if gain == Gain::Claimed {
+            self.touched.insert(server);
+        } else {
+            self.touched.remove(&server);
+        }
+        let control = Control {
+            server,
+            token,
+            phase: Phase::Waiting(start),
+            boot: None,
+            lease_until: settled,
+            confirmed_until: Time::ZERO,
+            granted: BTreeMap::new(),
+            unconfirmed: Vec::new(),
+            sequence: 0,
+            call: None,
+            offered: BTreeMap::new(),
+            gained: self.now,
+            answered: Time::ZERO,
+            limiter: Limiter::new(&limits, self.now),
+            queue: Queue::new(limits.queue as usize),
+            running: BTreeMap::new(),
+            ghosts: Vec::new(),
+            inherited: (0, Time::ZERO),
+            moving: None,
+            unsure: true,
+        };
+        self.controls.insert(server, control);
+        self.log(Code::ControlGained, info.spec.name, token.to_string());
+        self.renew(server);
+    }
+
+    fn drop_control(&mut self, server: ServerKey) {
+        let Some(control) = self.controls.remove(&server) else {
+            return;
+        };
+        self.outgoing.remove(&server);
+        self.touched.remove(&server);
+        let name = self.server_name(server);
+        self.log(Code::ControlLost, name, control.token.to_string());
+        self.release_jobs(control);
+    }
+
+    fn limits_of(&self, server: ServerKey) -> Option<Limits> {
+        let info = self.view.servers.get(server)?;
+        Some(self.view.entries.get(info.entry)?.limits)
+    }
+
+    fn resize_limits(&mut self) {
+        let servers: Vec<ServerKey> = self.controls.keys().copied().collect();
+        for server in servers {
+            let Some(limits) = self.limits_of(server) else {
+                continue;
+            };
+            if let Some(control) = self.controls.get_mut(&server) {
+                control.limiter.resize(&limits);
+                control.queue.resize(limits.queue as usize);
+            }
+        }
+    }
+
+    /// Moves a server's control between its phases as time goes by.
+    fn settle_phase(&mut self, server: ServerKey) {
+        let drift = self.timing().drift();
+        let touched = self.touched.contains(&server);
+        let now = self.now;
+        let valid = self.is_valid();
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        if let Phase::Waiting(start) = control.phase
+            && now >= start
+            && touched
+            && valid
+        {
+            control.phase = Phase::Active;
+        }
+        let silent = now.since(control.answered.max(control.gained)) > UNHEARD;
+        let lapsed = now > control.lease_until + drift && control.call.is_none_or(|c| c.expires.is_none());
+        if control.phase == Phase::Active && control.unsure && silent && lapsed && valid {
+            control.phase = Phase::Lost;
+            control.granted.clear();
+            let name = self.server_name(server);
+            self.log(Code::ServerLost, name, "");
+            self.evacuate(server);
+        }
+    }
+
+    /// Grants the wanted shards, or asks a register that may not have answered the last call.
+    pub(super) fn call_register(&mut self, server: ServerKey) {
+        let Some(info) = self.view.servers.get(server) else {
+            return;
+        };
+        let address = info.spec.address;
+        let wanted = self.wanted_shards(server);
+        let expires = (self.now + self.timing().lease).min(self.valid_until());
+        let grantable = self.is_valid() && expires > self.now;
+        let now = self.now;
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        if control.call.is_some() {
+            return;
+        }
+        let grants = control.phase == Phase::Active && !control.unsure && grantable;
+        let grant = grants.then(|| {
+            control.sequence += 1;
+            control.offered = wanted.clone();
+            Grant {
+                token: control.token,
+                sequence: control.sequence,
+                expires,
+                shards: wanted.into_iter().collect(),
+            }
+        });
+        self.next_id += 1;
+        let call = CallId(self.next_id);
+        control.call = Some(RegisterCall {
+            call,
+            sent: now,
+            expires: grant.as_ref().map(|grant| grant.expires),
+        });
+        self.servers_by_call.insert(call, server);
+        self.effects.push(Effect::Register {
+            call,
+            address,
+            grant,
+        });
+    }
+
+    fn take_state(
+        &mut self,
+        server: ServerKey,
+        open: RegisterCall,
+        offered: BTreeMap<u32, Epoch>,
+        state: RegisterState,
+    ) {
+        let validity = self.timing().validity;
+        let now = self.now;
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        let first = control.boot.is_none();
+        let restarted = control.boot.is_some_and(|boot| boot != state.boot);
+        control.boot = Some(state.boot);
+        control.answered = now;
+        control.unsure = false;
+        if first && state.running > 0 {
+            control.inherited = (state.running, now + validity);
+        }
+        if let Some(expires) = open.expires {
+            control.lease_until = control.lease_until.max(expires);
+            control.confirmed_until = expires;
+            control.granted.clone_from(&offered);
+            self.open_shards(server, &offered);
+        } else {
+            self.call_register(server);
+        }
+        if restarted {
+            self.note_restart(server);
+        }
+        self.note_return(server);
+    }
+
+    fn note_restart(&mut self, server: ServerKey) {
+        let now = self.now;
+        if let Some(control) = self.controls.get_mut(&server) {
+            control.limiter.restarted(now);
+            control.ghosts.clear();
+            control.inherited = (0, Time::ZERO);
+        }
+        let name = self.server_name(server);
+        self.log(Code::ServerRestarted, name, "");
+        self.confirm_crash(server);
+    }
+
+    fn note_return(&mut self, server: ServerKey) {
+        let now = self.now;
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        if control.phase != Phase::Lost {
+            return;
+        }
+        control.phase = Phase::Active;
+        control.limiter.restarted(now);
+        let name = self.server_name(server);
+        self.log(Code::ServerBack, name, "");
+    }
+
+    /// Steps back from a server that follows a higher token until the record is settled.
+    fn take_fence(&mut self, server: ServerKey, token: Token) {
+        let wait = self.takeover_wait();
+        let name = self.server_name(server);
+        self.log(Code::Fenced, name, token.to_string());
+        if let Some(control) = self.controls.get_mut(&server) {
+            control.phase = Phase::Waiting(wait);
+            control.granted.clear();
+            control.unsure = true;
+            control.token = Token(token.0 + 1);
+        }
+        if let Some(domain) = self.server_domain(server) {
+            self.read(crate::object::ObjectKey::domain(&domain));
+        }
+    }
+
+    /// Counts a crash against the requests that the server had when it went.
+    pub(super) fn confirm_crash(&mut self, server: ServerKey) {
+        let Some(fingerprints) = self.lost_requests.remove(&server) else {
+            return;
+        };
+        for fingerprint in fingerprints {
+            let crashes = self.quarantine.crashed(fingerprint, self.now);
+            let code = if self.quarantine.refuses(fingerprint) {
+                Code::RequestQuarantined
+            } else {
+                Code::RequestSuspect
+            };
+            let name = self.server_name(server);
+            self.log(code, name, format!("{fingerprint:016x}"));
+            for peer in self.region_peers() {
+                let message = Message::Suspect {
+                    fingerprint,
+                    crashes,
+                };
+                self.send(peer, message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/membership.rs
@@ -0,0 +1,440 @@
+//! Who is on record, who succeeds whom, and takeovers from silent hosts.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Host;
+use super::storage::{DomainWrite, Purpose};
+use crate::ids::{HostId, Revision, ServerKey, Token};
+use crate::log::Code;
+use crate::message::Message;
+use crate::names::DomainName;
+use crate::object::ObjectKey;
+use crate::record::{ControlRecord, DomainRecord, HostRecord, Subject};
+use crate::time::Time;
+use crate::timer::Wake;
+use crate::validity::Ward;
+
+/// Heartbeats without a promise after which the store is asked instead.
+const MISSED: u32 = 2;
+/// Validity spans without a promise after which another successor is named.
+const REPLACE: u32 = 2;
+/// Time by which the check of the store precedes a takeover.
+const EARLY_READ: Duration = Duration::from_millis(90);
+
+impl Host {
+    pub(super) fn beat(&mut self) {
+        let period = self.timing().heartbeat;
+        self.timers.subscribe(self.now + period, Wake::Heartbeat);
+        self.send_heartbeat();
+        self.ask_store_for_validity();
+        self.watch_wards();
+        self.sync_membership();
+    }
+
+    pub(super) fn take_heartbeat(
+        &mut self,
+        from: HostId,
+        sent: Time,
+        term: u64,
+        revision: Revision,
+    ) {
+        let now = self.now;
+        let mine = self.on_record;
+        if let Some(ward) = self.wards.get_mut(&from) {
+            ward.heard = now;
+            if mine && ward.promise(term, now) {
+                let revision = self.view.revision();
+                let message = Message::Promise {
+                    sent,
+                    term,
+                    revision,
+                };
+                self.send(from, message);
+            }
+        }
+        self.compare_revision(from, revision);
+    }
+
+    pub(super) fn take_promise(
+        &mut self,
+        from: HostId,
+        sent: Time,
+        term: u64,
+        revision: Revision,
+    ) {
+        let current = self.own_term();
+        let counts = self.successor() == Some(from)
+            && current == Some(term)
+            && sent >= self.promise_floor
+            && !self.is_changing_successor();
+        if counts {
+            self.validity.confirm_by_promise(sent);
+        }
+        self.compare_revision(from, revision);
+    }
+
+    /// Brings the records of failure domains and this host's part in them up to date.
+    pub(super) fn sync_membership(&mut self) {
+        self.note_own_record();
+        self.sync_wards();
+        let names: Vec<DomainName> = self
+            .view
+            .domains()
+            .map(|(name, _)| name.clone())
+            .filter(|name| *name != self.settings.domain)
+            .collect();
+        for name in names {
+            self.reconcile_domain(&name);
+        }
+        if self.view.revision() > Revision(0) {
+            let own = self.settings.domain.clone();
+            self.reconcile_domain(&own);
+        }
+    }
+
+    pub(super) fn complete_domain_write(&mut self, write: &DomainWrite, sent: Time) {
+        if write.name == self.settings.domain && self.on_record {
+            self.validity.confirm_by_store(sent);
+        }
+        if write.succession {
+            self.promise_floor = self.now;
+        }
+        for (host, _) in &write.taken {
+            self.wards.remove(host);
+            self.log(Code::TakeoverRecorded, host.to_string(), write.name.as_str());
+            self.audit("takeover", &host.to_string(), write.name.as_str());
+        }
+        self.sync_membership();
+    }
+
+    pub(super) fn give_up_domain_write(&mut self, write: &DomainWrite) {
+        for (host, _) in &write.taken {
+            if let Some(ward) = self.wards.get_mut(host) {
+                ward.reopen();
+            }
+        }
+        if write.succession {
+            self.promise_floor = self.now;
+        }
+    }
+
+    pub(super) fn own_term(&self) -> Option<u64> {
+        let record = self.own_record()?;
+        Some(record.hosts.get(&self.settings.id)?.term)
+    }
+
+    fn send_heartbeat(&mut self) {
+        let (Some(successor), Some(term)) = (self.successor(), self.own_term()) else {
+            return;
+        };
+        let message = Message::Heartbeat {
+            sent: self.now,
+            term,
+            revision: self.view.revision(),
+        };
+        self.send(successor, message);
+    }
+
+    /// Reads the own record while no promise arrives.
+    fn ask_store_for_validity(&mut self) {
+        let quiet = self.now.since(self.validity.promised());
+        if self.on_record && quiet > self.timing().heartbeat * MISSED {
+            self.read(ObjectKey::domain(&self.settings.domain));
+        }
+    }
+
+    fn note_own_record(&mut self) {
+        let id = self.settings.id;
+        let on_record = self
+            .own_record()
+            .is_some_and(|record| record.hosts.contains_key(&id));
+        let name = self.settings.name.clone();
+        if on_record != self.on_record {
+            self.on_record = on_record;
+            if !on_record {
+                self.validity.revoke();
+            }
+            let code = if on_record {
+                Code::Joined
+            } else {
+                Code::Removed
+            };
+            self.log(code, name.clone(), id.to_string());
+        }
+        let successor = self.successor();
+        if successor != self.known_successor {
+            self.known_successor = successor;
+            self.validity.forget_promises();
+            let detail = successor.map_or_else(String::new, |host| host.to_string());
+            self.log(Code::SuccessorChanged, name, detail);
+            self.restart_copying();
+        }
+    }
+
+    fn sync_wards(&mut self) {
+        let id = self.settings.id;
+        let now = self.now;
+        let mut named = Vec::new();
+        for (_, record) in self.view.domains() {
+            for (host, kept) in &record.hosts {
+                if kept.successor == Some(id) {
+                    named.push((*host, kept.term));
+                }
+            }
+        }
+        self.wards
+            .retain(|host, ward| ward.is_closed() || named.iter().any(|(named, _)| named == host));
+        for (host, term) in named {
+            let current = self.wards.get(&host).map(|ward| ward.term);
+            if current != Some(term) {
+                self.wards.insert(host, Ward::new(host, term, now));
+            }
+        }
+    }
+
+    /// Begins a takeover from each silent host that named this one.
+    ///
+    /// A takeover needs the store, so it begins only after the store has just answered;
+    /// otherwise an outage would make this host withhold promises for nothing.
+    fn watch_wards(&mut self) {
+        let suspicion = self.timing().suspicion;
+        let mut silent = Vec::new();
+        for ward in self.wards.values().filter(|ward| !ward.is_closed()) {
+            let quiet = self.now.since(ward.heard);
+            if quiet + EARLY_READ >= suspicion {
+                silent.push((ward.host, ward.heard, quiet > suspicion));
+            }
+        }
+        for (host, heard, overdue) in silent {
+            let Some((domain, _)) = self.view.host(host) else {
+                continue;
+            };
+            let key = ObjectKey::domain(domain);
+            let checked = self.storage.read_at.get(&key).copied();
+            let fresh = checked.is_some_and(|read| read > heard);
+            if overdue && fresh && self.is_valid() && !self.is_writing(&key) {
+                self.begin_takeover(host);
+            } else {
+                self.read(key);
+            }
+        }
+    }
+
+    fn begin_takeover(&mut self, host: HostId) {
+        if let Some(ward) = self.wards.get_mut(&host) {
+            ward.close();
+        }
+        let name = self
+            .view
+            .host(host)
+            .map_or_else(String::new, |(_, record)| record.name.clone());
+        self.log(Code::TakeoverBegun, name, host.to_string());
+    }
+
+    /// Writes a failure domain's record where it is not what it should be.
+    pub(super) fn reconcile_domain(&mut self, name: &DomainName) {
+        let key = ObjectKey::domain(name);
+        if self.is_writing(&key) {
+            return;
+        }
+        let (revision, old) = match self.view.domain(name) {
+            Some(kept) => (kept.revision, kept.record.clone()),
+            None => (self.view.revision_of(&key), DomainRecord::default()),
+        };
+        let mut record = old.clone();
+        let mut write = DomainWrite {
+            name: name.clone(),
+            taken: Vec::new(),
+            claimed: Vec::new(),
+            succession: false,
+        };
+        self.plan_takeovers(&mut record, &mut write);
+        self.plan_handovers(name, &mut record);
+        if *name == self.settings.domain {
+            self.plan_own_host(&mut record, &mut write);
+            self.plan_claims(&mut record, &mut write);
+        }
+        self.plan_tokens(&mut record);
+        if record != old {
+            self.write(key, revision, &record, Purpose::Domain(write));
+        }
+    }
+
+    fn plan_takeovers(&self, record: &mut DomainRecord, write: &mut DomainWrite) {
+        if !self.on_record {
+            return;
+        }
+        for ward in self.wards.values().filter(|ward| ward.is_closed()) {
+            let named = record
+                .hosts
+                .get(&ward.host)
+                .is_some_and(|host| host.successor == Some(self.settings.id));
+            if !named {
+                continue;
+            }
+            record.hosts.remove(&ward.host);
+            for control in record.control.values_mut() {
+                if control.host == ward.host {
+                    control.host = self.settings.id;
+                    control.token = Token(control.token.0 + 1);
+                    control.released = false;
+                }
+            }
+            write.taken.push((ward.host, ward.term));
+        }
+    }
+
+    fn plan_own_host(&mut self, record: &mut DomainRecord, write: &mut DomainWrite) {
+        let id = self.settings.id;
+        if self.leaving {
+            let controls = record.control.values().any(|control| control.host == id);
+            if !controls && self.controls.is_empty() && record.hosts.remove(&id).is_some() {
+                write.succession = true;
+            }
+            return;
+        }
+        if !record.hosts.contains_key(&id) {
+            let host = HostRecord {
+                name: self.settings.name.clone(),
+                address: self.settings.address,
+                successor: None,
+                term: 0,
+            };
+            record.hosts.insert(id, host);
+        }
+        let chosen = self.choose_successor(record);
+        let Some(host) = record.hosts.get_mut(&id) else {
+            return;
+        };
+        if host.successor != chosen {
+            self.failed_successor = host.successor;
+            host.successor = chosen;
+            host.term += 1;
+            write.succession = true;
+        }
+    }
+
+    /// The host that should succeed this one.
+    ///
+    /// A host of the same failure domain is chosen before one of the same region, so that a
+    /// failure domain that is cut off keeps itself valid.
+    fn choose_successor(&self, record: &DomainRecord) -> Option<HostId> {
+        let id = self.settings.id;
+        let current = record.hosts.get(&id).and_then(|host| host.successor);
+        let near: Vec<HostId> = record.hosts.keys().copied().filter(|host| *host != id).collect();
+        let far: Vec<HostId> = self
+            .region_peers()
+            .into_iter()
+            .filter(|host| !record.hosts.contains_key(host))
+            .collect();
+        let pool = if near.is_empty() { far } else { near };
+        if let Some(current) = current
+            && pool.contains(&current)
+            && !self.is_successor_silent()
+        {
+            return Some(current);
+        }
+        let usable: Vec<HostId> = pool
+            .iter()
+            .copied()
+            .filter(|host| Some(*host) != current || pool.len() == 1)
+            .filter(|host| Some(*host) != self.failed_successor || pool.len() <= 2)
+            .collect();
+        let next = usable.iter().find(|host| **host > id);
+        next.or(usable.first()).copied()
+    }
+
+    fn is_successor_silent(&self) -> bool {
+        let since = self.validity.promised().max(self.promise_floor);
+        self.now.since(since) > self.timing().validity * REPLACE
+    }
+
+    fn plan_claims(&self, record: &mut DomainRecord, write: &mut DomainWrite) {
+        if self.leaving || !record.hosts.contains_key(&self.settings.id) {
+            return;
+        }
+        record.control.retain(|name, control| {
+            let known = self.view.servers.find(name);
+            let listed = known.is_some_and(|server| self.view.servers.get(server).is_some());
+            listed || control.host != self.settings.id
+        });
+        for (server, info) in self.view.servers.iter() {
+            let here = info.spec.domain == self.settings.domain;
+            if !here || record.control.contains_key(&info.spec.name) {
+                continue;
+            }
+            if preferred_host(record, &info.spec.name) != Some(self.settings.id) {
+                continue;
+            }
+            let control = ControlRecord {
+                host: self.settings.id,
+                token: Token(1),
+                released: false,
+            };
+            record.control.insert(info.spec.name.clone(), control);
+            write.claimed.push(server);
+        }
+    }
+
+    /// Raises tokens that a register holds against this host.
+    fn plan_tokens(&self, record: &mut DomainRecord) {
+        for (server, control) in &self.controls {
+            let name = self.view.servers.name(*server);
+            let Some(kept) = record.control.get_mut(name) else {
+                continue;
+            };
+            let ours = kept.host == self.settings.id;
+            if ours && kept.token < control.token {
+                kept.token = control.token;
+            }
+        }
+    }
+
+    pub(super) fn note_claims(&mut self, write: &DomainWrite) {
+        self.claimed.extend(write.claimed.iter().copied());
+        for (server, info) in self.view.servers.iter() {
+            let Some(host) = self.view.controller(server) else {
+                continue;
+            };
+            let taken = write.taken.iter().find(|(taken, _)| *taken == host);
+            if info.spec.domain == write.name && let Some((host, term)) = taken {
+                self.heirs.insert(server, (*host, *term));
+            }
+        }
+    }
+
+    /// When this host may act for servers that it took over just now.
+    pub(super) fn takeover_wait(&self) -> Time {
+        let timing = self.timing();
+        self.now + timing.validity + timing.drift()
+    }
+
+    /// Whether operators took this host out of service.
+    pub(super) fn is_host_out(&self) -> bool {
+        self.view.is_out(&Subject::Host(self.settings.name.clone()))
+    }
+
+    /// Servers in this host's failure domain for which it is the preferred host.
+    pub(super) fn preferred_for(&self, server: ServerKey) -> Option<HostId> {
+        let info = self.view.servers.get(server)?;
+        let record = &self.view.domain(&info.spec.domain)?.record;
+        let mut usable = record.clone();
+        usable.hosts.retain(|id, host| {
+            let leaving = *id == self.settings.id && self.leaving;
+            !leaving && !self.view.is_out(&Subject::Host(host.name.clone()))
+        });
+        preferred_host(&usable, &info.spec.name)
+    }
+}
+
+/// Picks the host for a server by highest random weight, so that few servers change their host
+/// when one joins or leaves.
+fn preferred_host(record: &DomainRecord, server: &str) -> Option<HostId> {
+    record
+        .hosts
+        .keys()
+        .copied()
+        .max_by_key(|host| xxh3_64_with_seed(server.as_bytes(), host.0))
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,156 @@
+//! Messages between hosts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Epoch, IdempotencyKey, RequestId, Revision};
+use crate::ledger::RecordState;
+use crate::object::Object;
+use crate::request::{Outcome, Request};
+use crate::time::Time;
+
+/// A message from one host to another.
+///
+/// Backend servers, entries and regions go by name, since interned keys differ between hosts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Message {
+    /// A sign of life to the successor.
+    Heartbeat {
+        /// When the sender sent it, by its own clock; the promise returns it.
+        sent: Time,
+        /// The sender's record term.
+        term: u64,
+        /// The sender's configuration revision.
+        revision: Revision,
+    },
+    /// "I am not taking over from you" for the validity span, counted from `sent`.
+    Promise {
+        /// The heartbeat's sending time.
+        sent: Time,
+        /// The heartbeat's term.
+        term: u64,
+        /// The sender's configuration revision.
+        revision: Revision,
+    },
+    /// A request for the host in charge.
+    Forward {
+        /// The sender's number of the request.
+        id: RequestId,
+        /// The request.
+        request: Request,
+    },
+    /// How a forwarded request ended.
+    Outcome {
+        /// The receiver's number of the request.
+        id: RequestId,
+        /// The outcome, or `None` where the sender is not in charge and did nothing.
+        outcome: Option<Outcome>,
+    },
+    /// Asks for configuration objects written after a revision.
+    Pull {
+        /// The revision.
+        after: Revision,
+    },
+    /// Configuration objects.
+    Delta {
+        /// The objects.
+        objects: Vec<Object>,
+        /// The revision up to which the receiver then misses nothing.
+        complete: Revision,
+    },
+    /// Ledger records for the successor to keep.
+    Copy {
+        /// Rises with each copy of this sender.
+        sequence: u64,
+        /// The sender's record term, where the copy replaces everything sent before.
+        full: Option<u64>,
+        /// The records.
+        ledger: LedgerPart,
+    },
+    /// Copies up to a sequence number are kept.
+    CopyKept {
+        /// The sequence number.
+        sequence: u64,
+    },
+    /// Shards that come under the receiver's control, with their records.
+    Handover {
+        /// The sender's number of the hand-over.
+        id: u64,
+        /// The server that takes the shards.
+        server: String,
+        /// Whether control of that server itself changes hands.
+        control: bool,
+        /// The shards with their new epochs.
+        shards: Vec<(u32, Epoch)>,
+        /// The records.
+        ledger: LedgerPart,
+    },
+    /// A hand-over was taken, or the receiver cannot take it.
+    HandoverTaken {
+        /// The sender's number of the hand-over.
+        id: u64,
+        /// Whether it was taken.
+        taken: bool,
+    },
+    /// New owners that the store does not know yet.
+    Provision {
+        /// The sender's number of the assignment.
+        id: u64,
+        /// The entry's name.
+        entry: String,
+        /// The region's name.
+        region: String,
+        /// The shards with their new owners and epochs.
+        owners: Vec<(u32, String, Epoch)>,
+    },
+    /// New owners are kept.
+    Provisioned {
+        /// The sender's number of the assignment.
+        id: u64,
+    },
+    /// A request was in the hands of servers that crashed.
+    Suspect {
+        /// The request's fingerprint.
+        fingerprint: u64,
+        /// How many servers it took down.
+        crashes: u32,
+    },
+}
+
+/// Ledger records and what they are complete for.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LedgerPart {
+    /// For each shard, the key time from which nothing is missing.
+    pub since: Vec<ShardSince>,
+    /// The records.
+    pub records: Vec<LedgerRecord>,
+}
+
+/// A shard's completeness on the wire.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShardSince {
+    /// The entry's name.
+    pub entry: String,
+    /// The region's name.
+    pub region: String,
+    /// The shard's number.
+    pub index: u32,
+    /// The key time from which no record is missing.
+    pub since: Time,
+}
+
+/// A ledger record on the wire.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LedgerRecord {
+    /// The entry's name.
+    pub entry: String,
+    /// The region's name.
+    pub region: String,
+    /// The shard's number.
+    pub index: u32,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+    /// The hash of the request.
+    pub fingerprint: u64,
+    /// How far the request got.
+    pub state: RecordState,
+}
--- /dev/null
+++ b/crates/core/src/names.rs
@@ -0,0 +1,86 @@
+//! Names that records of the store carry.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// A failure domain, written `region/domain`.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct DomainName(String);
+
+impl DomainName {
+    /// The region part of the name.
+    pub fn region(&self) -> &str {
+        self.0.split('/').next().unwrap_or_default()
+    }
+
+    /// The whole name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// A name that is not of the form `region/domain`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DomainNameError(String);
+
+impl fmt::Display for DomainNameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "`{}` is no failure domain: write `region/domain` in letters, digits and hyphens",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for DomainNameError {}
+
+impl FromStr for DomainName {
+    type Err = DomainNameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split('/');
+        let valid = parts.next().is_some_and(is_label)
+            && parts.next().is_some_and(is_label)
+            && parts.next().is_none();
+        if valid {
+            Ok(Self(text.to_owned()))
+        } else {
+            Err(DomainNameError(text.to_owned()))
+        }
+    }
+}
+
+impl TryFrom<String> for DomainName {
+    type Error = DomainNameError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<DomainName> for String {
+    fn from(name: DomainName) -> Self {
+        name.0
+    }
+}
+
+impl fmt::Display for DomainName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Whether a text can name an entry, a region, a tenant, a host or a backend server.
+///
+/// Letters, digits, hyphens and underscores, at most 64 of them, so that names fit in object
+/// keys and paths without escapes.
+pub fn is_label(text: &str) -> bool {
+    let fits = (1..=64).contains(&text.len());
+    fits && text
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_')
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,72 @@
+//! Clock readings as plain numbers, so that the core never asks a clock.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A clock reading in microseconds since the Unix epoch.
+///
+/// A process takes the wall clock once at its start and adds monotonic time to it, so readings
+/// never go back. Two clocks differ by at most the skew bound of
+/// [`Timing`](crate::settings::Timing); see `docs/design.md`, "Clocks".
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Time(u64);
+
+impl Time {
+    /// The earliest reading.
+    pub const ZERO: Self = Self(0);
+
+    /// Makes a reading from microseconds since the Unix epoch.
+    #[inline]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes a reading from milliseconds since the Unix epoch.
+    #[inline]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the Unix epoch.
+    #[inline]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Milliseconds since the Unix epoch, rounded down.
+    #[inline]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Time from `earlier` to this reading; zero when `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,358 @@
+//! What a host knows of the configuration, in revisions that only rise.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use serde::de::DeserializeOwned;
+
+use crate::arena::Arena;
+use crate::catalogue::{Entry, Server};
+use crate::ids::{EntryKey, Epoch, HostId, RegionKey, Revision, ServerKey, ShardKey};
+use crate::invariant::{Invariant, ensure};
+use crate::names::DomainName;
+use crate::object::{Object, ObjectKey, ObjectKind};
+use crate::record::{DomainRecord, HostRecord, PlacementRecord, Subject};
+
+/// A record with the revision it was read at.
+#[derive(Clone, Debug)]
+pub struct Versioned<T> {
+    /// The revision of the write.
+    pub revision: Revision,
+    /// The record.
+    pub record: T,
+}
+
+/// A backend server together with where it belongs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerInfo {
+    /// The entry that the server works for.
+    pub entry: EntryKey,
+    /// The region of the server's failure domain.
+    pub region: RegionKey,
+    /// The server as the catalogue has it.
+    pub spec: Server,
+}
+
+/// The owner of a shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Owner {
+    /// The backend server.
+    pub server: ServerKey,
+    /// How often the shard has changed its owner.
+    pub epoch: Epoch,
+}
+
+/// The owners of an entry's shards in one region.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    /// The revision of the record; zero before there is one.
+    pub revision: Revision,
+    /// The record's touch counter.
+    pub touched: u64,
+    /// Owners by shard number.
+    pub owners: Vec<Owner>,
+}
+
+/// The replicated part of the object store, and indices over it.
+///
+/// Each key only ever moves to a higher revision, whichever way a change arrives, so a late
+/// message cannot bring an older version back.
+#[derive(Debug, Default)]
+pub struct View {
+    objects: BTreeMap<ObjectKey, Object>,
+    complete: Revision,
+    /// Catalogue entries by name.
+    pub entries: Arena<EntryKey, Entry>,
+    /// Backend servers by name.
+    pub servers: Arena<ServerKey, ServerInfo>,
+    /// Region names.
+    pub regions: Arena<RegionKey, ()>,
+    domains: BTreeMap<DomainName, Versioned<DomainRecord>>,
+    placements: HashMap<(EntryKey, RegionKey), Placement>,
+    provisional: BTreeMap<ShardKey, Owner>,
+    orders: BTreeSet<Subject>,
+    unreadable: Vec<ObjectKey>,
+}
+
+impl View {
+    /// The revision up to which the view misses nothing.
+    pub fn revision(&self) -> Revision {
+        self.complete
+    }
+
+    /// Takes in objects, and the revision up to which they are complete.
+    ///
+    /// Returns the keys whose value changed.
+    pub fn apply(&mut self, objects: &[Object], complete: Option<Revision>) -> Vec<ObjectKey> {
+        let mut changed = Vec::new();
+        for object in objects {
+            if self.apply_one(object) {
+                changed.push(object.key.clone());
+            }
+        }
+        if let Some(revision) = complete {
+            self.complete = self.complete.max(revision);
+        }
+        changed
+    }
+
+    /// The objects written after a revision.
+    pub fn newer_than(&self, revision: Revision) -> Vec<Object> {
+        self.objects
+            .values()
+            .filter(|object| object.revision > revision)
+            .cloned()
+            .collect()
+    }
+
+    /// The revision at which an object was last written; zero when it never was.
+    pub fn revision_of(&self, key: &ObjectKey) -> Revision {
+        self.objects
+            .get(key)
+            .map_or(Revision(0), |object| object.revision)
+    }
+
+    /// Objects that this version could not read, each named once.
+    pub fn take_unreadable(&mut self) -> Vec<ObjectKey> {
+        std::mem::take(&mut self.unreadable)
+    }
+
+    /// A failure domain's record.
+    pub fn domain(&self, name: &DomainName) -> Option<&Versioned<DomainRecord>> {
+        self.domains.get(name)
+    }
+
+    /// Every failure domain's record.
+    pub fn domains(&self) -> impl Iterator<Item = (&DomainName, &DomainRecord)> {
+        self.domains.iter().map(|(name, kept)| (name, &kept.record))
+    }
+
+    /// A host on record, in whichever failure domain it stands.
+    pub fn host(&self, id: HostId) -> Option<(&DomainName, &HostRecord)> {
+        self.domains()
+            .find_map(|(domain, record)| Some((domain, record.hosts.get(&id)?)))
+    }
+
+    /// The address of a host on record.
+    pub fn host_address(&self, id: HostId) -> Option<SocketAddr> {
+        self.host(id).map(|(_, record)| record.address)
+    }
+
+    /// The host that controls a backend server.
+    pub fn controller(&self, server: ServerKey) -> Option<HostId> {
+        let info = self.servers.get(server)?;
+        let domain = self.domains.get(&info.spec.domain)?;
+        let control = domain.record.control.get(&info.spec.name)?;
+        Some(control.host)
+    }
+
+    /// Whether operators took the subject out.
+    pub fn is_out(&self, subject: &Subject) -> bool {
+        self.orders.contains(subject)
+    }
+
+    /// Whether a backend server may be given shards.
+    pub fn is_eligible(&self, server: ServerKey) -> bool {
+        self.servers.get(server).is_some_and(|info| {
+            let domain_out = self.is_out(&Subject::Domain(info.spec.domain.clone()));
+            !domain_out && !self.is_out(&Subject::Server(info.spec.name.clone()))
+        })
+    }
+
+    /// The backend servers of an entry in a region.
+    pub fn members(
+        &self,
+        entry: EntryKey,
+        region: RegionKey,
+    ) -> impl Iterator<Item = (ServerKey, &ServerInfo)> {
+        self.servers
+            .iter()
+            .filter(move |(_, info)| info.entry == entry && info.region == region)
+    }
+
+    /// The placement of an entry in a region, without provisional owners.
+    pub fn placement(&self, entry: EntryKey, region: RegionKey) -> Option<&Placement> {
+        self.placements.get(&(entry, region))
+    }
+
+    /// Every placement.
+    pub fn placements(&self) -> impl Iterator<Item = (EntryKey, RegionKey, &Placement)> {
+        self.placements
+            .iter()
+            .map(|((entry, region), placement)| (*entry, *region, placement))
+    }
+
+    /// The owner of a shard, provisional owners included.
+    pub fn owner(&self, shard: ShardKey) -> Option<Owner> {
+        if let Some(owner) = self.provisional.get(&shard) {
+            return Some(*owner);
+        }
+        let placement = self.placements.get(&(shard.entry, shard.region))?;
+        placement.owners.get(shard.index as usize).copied()
+    }
+
+    /// The shards that a backend server owns, with their epochs.
+    pub fn owned_by(&self, server: ServerKey) -> BTreeMap<u32, Epoch> {
+        let Some(info) = self.servers.get(server) else {
+            return BTreeMap::new();
+        };
+        let count = self
+            .placement(info.entry, info.region)
+            .map_or(0, |placement| placement.owners.len() as u32);
+        (0..count)
+            .filter_map(|index| {
+                let shard = ShardKey {
+                    entry: info.entry,
+                    region: info.region,
+                    index,
+                };
+                let owner = self.owner(shard)?;
+                (owner.server == server).then_some((index, owner.epoch))
+            })
+            .collect()
+    }
+
+    /// Records an owner that the store does not know yet.
+    pub fn assign(&mut self, shard: ShardKey, owner: Owner) {
+        let known = self.owner(shard).map_or(Epoch(0), |kept| kept.epoch);
+        if owner.epoch > known {
+            self.provisional.insert(shard, owner);
+        }
+    }
+
+    /// Owners that the store does not know yet.
+    pub fn provisional(&self) -> impl Iterator<Item = (ShardKey, Owner)> {
+        self.provisional.iter().map(|(shard, owner)| (*shard, *owner))
+    }
+
+    fn apply_one(&mut self, object: &Object) -> bool {
+        let known = self.revision_of(&object.key);
+        if object.revision <= known {
+            return false;
+        }
+        self.index(object);
+        self.objects.insert(object.key.clone(), object.clone());
+        true
+    }
+
+    fn index(&mut self, object: &Object) {
+        let readable = match object.key.kind() {
+            Some(ObjectKind::Entry(name)) => self.index_entry(name, object),
+            Some(ObjectKind::Domain(name)) => self.index_domain(name, object),
+            Some(ObjectKind::Placement { entry, region }) => {
+                self.index_placement(entry, region, object)
+            }
+            Some(ObjectKind::Order(subject)) => self.index_order(subject, object),
+            None => false,
+        };
+        if !readable {
+            self.unreadable.push(object.key.clone());
+        }
+    }
+
+    fn index_entry(&mut self, name: &str, object: &Object) -> bool {
+        let parsed = parse::<Entry>(object);
+        if object.value.is_some() && parsed.is_none() {
+            return false;
+        }
+        let key = self.entries.intern(name);
+        let gone: Vec<ServerKey> = self
+            .servers
+            .iter()
+            .filter(|(_, info)| info.entry == key)
+            .map(|(server, _)| server)
+            .collect();
+        for server in gone {
+            self.servers.set(server, None);
+        }
+        for spec in parsed.iter().flat_map(|entry| &entry.servers) {
+            let region = self.regions.intern(spec.domain.region());
+            let server = self.servers.intern(&spec.name);
+            let info = ServerInfo {
+                entry: key,
+                region,
+                spec: spec.clone(),
+            };
+            self.servers.set(server, Some(info));
+        }
+        self.entries.set(key, parsed);
+        true
+    }
+
+    fn index_domain(&mut self, name: DomainName, object: &Object) -> bool {
+        if object.value.is_none() {
+            self.domains.remove(&name);
+            return true;
+        }
+        let Some(record) = parse::<DomainRecord>(object) else {
+            return false;
+        };
+        let revision = object.revision;
+        self.domains.insert(name, Versioned { revision, record });
+        true
+    }
+
+    fn index_placement(&mut self, entry: &str, region: &str, object: &Object) -> bool {
+        let entry = self.entries.intern(entry);
+        let region = self.regions.intern(region);
+        if object.value.is_none() {
+            self.placements.remove(&(entry, region));
+            return true;
+        }
+        let Some(record) = parse::<PlacementRecord>(object) else {
+            return false;
+        };
+        let owners: Vec<Owner> = record
+            .shards
+            .iter()
+            .map(|assignment| Owner {
+                server: self.servers.intern(&assignment.server),
+                epoch: assignment.epoch,
+            })
+            .collect();
+        self.check_epochs(entry, region, &owners);
+        self.provisional.retain(|shard, kept| {
+            let same = shard.entry == entry && shard.region == region;
+            let stored = owners.get(shard.index as usize);
+            !(same && stored.is_some_and(|owner| owner.epoch >= kept.epoch))
+        });
+        let placement = Placement {
+            revision: object.revision,
+            touched: record.touched,
+            owners,
+        };
+        self.placements.insert((entry, region), placement);
+        true
+    }
+
+    fn check_epochs(&self, entry: EntryKey, region: RegionKey, owners: &[Owner]) {
+        let Some(old) = self.placements.get(&(entry, region)) else {
+            return;
+        };
+        for (before, after) in old.owners.iter().zip(owners) {
+            ensure(Invariant::EpochRises, after.epoch >= before.epoch);
+            let kept = after.epoch > before.epoch || after.server == before.server;
+            ensure(Invariant::EpochRises, kept);
+        }
+    }
+
+    fn index_order(&mut self, subject: Subject, object: &Object) -> bool {
+        let out = match &object.value {
+            None => false,
+            Some(_) => match parse::<crate::record::OrderRecord>(object) {
+                Some(order) => order.out,
+                None => return false,
+            },
+        };
+        if out {
+            self.orders.insert(subject);
+        } else {
+            self.orders.remove(&subject);
+        }
+        true
+    }
+}
+
+fn parse<T: DeserializeOwned>(object: &Object) -> Option<T> {
+    serde_json::from_slice(object.value.as_ref()?).ok()
+}
--- /dev/null
+++ b/crates/core/tests/core/fleet/backend.rs
@@ -0,0 +1,197 @@
+//! A fake backend server.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use amaranthshunt_core::catalogue::{Limits, Server};
+use amaranthshunt_core::event::{Grant, RegisterResult, RegisterState};
+use amaranthshunt_core::ids::{ExchangeId, Token};
+use amaranthshunt_core::request::{Order, OrderRefusal, OrderResult};
+use amaranthshunt_core::{Answer, HostId, Request, Time};
+
+/// Time that a server stays cold, in microseconds.
+const COLD_MICROS: u64 = 300_000;
+
+pub struct Backend {
+    pub name: String,
+    pub entry: String,
+    pub address: SocketAddr,
+    pub checks: bool,
+    pub offset: i64,
+    pub alive: bool,
+    pub frozen_until: u64,
+    pub boot: u64,
+    limits: Limits,
+    cold_until: u64,
+    told_cold: bool,
+    token: Token,
+    sequence: u64,
+    expires: Time,
+    shards: BTreeMap<u32, u64>,
+    runs: BTreeMap<u64, Run>,
+    next: u64,
+}
+
+struct Run {
+    slot: usize,
+    id: HostId,
+    exchange: ExchangeId,
+    shard: u32,
+    deadline: Time,
+    end: u64,
+    body: bytes::Bytes,
+}
+
+pub enum Started {
+    Refused(OrderResult),
+    Running(u64),
+}
+
+impl Backend {
+    pub fn new(server: &Server, limits: Limits, offset: i64, now: u64) -> Self {
+        let entry = server.name.split('-').next().unwrap().to_owned();
+        Self {
+            name: server.name.clone(),
+            entry,
+            address: server.address,
+            checks: server.checks,
+            offset,
+            alive: true,
+            frozen_until: 0,
+            boot: 1,
+            limits,
+            cold_until: now + COLD_MICROS,
+            told_cold: true,
+            token: Token(0),
+            sequence: 0,
+            expires: Time::ZERO,
+            shards: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    pub fn start(&mut self, boot: u64, now: u64) {
+        self.alive = true;
+        self.boot = boot;
+        self.cold_until = now + COLD_MICROS;
+        self.told_cold = true;
+        self.token = Token(0);
+        self.sequence = 0;
+        self.expires = Time::ZERO;
+        self.shards.clear();
+    }
+
+    pub fn stop(&mut self) -> Vec<(usize, HostId, ExchangeId)> {
+        self.alive = false;
+        self.frozen_until = 0;
+        let runs = std::mem::take(&mut self.runs);
+        runs.into_values().map(|run| (run.slot, run.id, run.exchange)).collect()
+    }
+
+    /// Turns cold without telling.
+    pub fn cool(&mut self, now: u64) {
+        self.cold_until = now + COLD_MICROS;
+        self.told_cold = false;
+    }
+
+    /// Whether the server would act for a shard.
+    pub fn holds(&self, shard: u32, clock: Time) -> bool {
+        self.expires > clock && self.shards.contains_key(&shard)
+    }
+
+    /// Whether a run for the shard is under way.
+    pub fn is_running(&self, shard: u32, now: u64, clock: Time) -> bool {
+        self.alive
+            && self.runs.values().any(|run| {
+                let lease = !self.checks || self.holds(shard, clock);
+                run.shard == shard && run.end > now && run.deadline > clock && lease
+            })
+    }
+
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// What the server bears now, as far as it can be known from outside.
+    pub fn bears(&self, now: u64) -> usize {
+        let known_cold = self.cold_until > now && self.told_cold;
+        let slots = if known_cold { self.limits.cold_slots } else { self.limits.slots };
+        slots as usize
+    }
+
+    pub fn register(&mut self, grant: Option<&Grant>, clock: Time) -> RegisterResult {
+        if !self.alive {
+            return RegisterResult::Unreachable;
+        }
+        if let Some(grant) = grant {
+            let older = grant.token < self.token;
+            if self.checks && older {
+                return RegisterResult::Fenced(self.token);
+            }
+            let stale = (grant.token, grant.sequence) < (self.token, self.sequence);
+            let ignored = self.checks && stale;
+            if !ignored && grant.expires > clock {
+                self.token = grant.token;
+                self.sequence = grant.sequence;
+                self.expires = grant.expires;
+                self.shards = grant.shards.iter().map(|(shard, epoch)| (*shard, epoch.0)).collect();
+            }
+        }
+        RegisterResult::State(RegisterState {
+            boot: self.boot,
+            token: self.token,
+            running: self.runs.len() as u32,
+        })
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn order(
+        &mut self,
+        slot: usize,
+        id: HostId,
+        exchange: ExchangeId,
+        order: &Order,
+        request: &Request,
+        clock: Time,
+        end: u64,
+    ) -> Started {
+        if !self.alive {
+            return Started::Refused(OrderResult::Refused(OrderRefusal::Unreachable));
+        }
+        if order.deadline <= clock {
+            return Started::Refused(OrderResult::Refused(OrderRefusal::Expired));
+        }
+        let held = self.holds(order.shard.index, clock);
+        if self.checks && (order.token != self.token || !held) {
+            return Started::Refused(OrderResult::Refused(OrderRefusal::Fenced));
+        }
+        self.next += 1;
+        let run = Run {
+            slot,
+            id,
+            exchange,
+            shard: order.shard.index,
+            deadline: order.deadline,
+            end,
+            body: request.body.clone(),
+        };
+        self.runs.insert(self.next, run);
+        Started::Running(self.next)
+    }
+
+    pub fn end_of(&self, run: u64) -> u64 {
+        self.runs[&run].end
+    }
+
+    pub fn finish(&mut self, run: u64, clock: Time) -> Option<(usize, HostId, ExchangeId, OrderResult)> {
+        let run = self.runs.remove(&run)?;
+        let lapsed = self.checks && !self.holds(run.shard, clock);
+        let result = if run.deadline <= clock || lapsed {
+            OrderResult::Lost
+        } else {
+            OrderResult::Answer(Answer { status: 200, body: run.body })
+        };
+        Some((run.slot, run.id, run.exchange, result))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/core/fleet/checks.rs
@@ -0,0 +1,122 @@
+//! What must hold over the whole fleet, checked from outside the hosts.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use amaranthshunt_core::event::Grant;
+use amaranthshunt_core::request::Order;
+use amaranthshunt_core::{Outcome, Request, Time};
+
+use super::Fault;
+use super::backend::Backend;
+
+#[derive(Default)]
+pub struct Checks {
+    requests: HashMap<String, Seen>,
+    epochs: HashMap<(String, u32), u64>,
+    faults: VecDeque<(u64, String)>,
+    pub answered: BTreeMap<String, u64>,
+    pub not_run: BTreeMap<String, u64>,
+    pub unknown: BTreeMap<String, u64>,
+    pub kinds: BTreeMap<String, u64>,
+    pub last_answer: BTreeMap<String, u64>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    attempts: u64,
+    refused: u64,
+    runs: u64,
+    once: bool,
+}
+
+impl Checks {
+    pub fn note_fault(&mut self, now: u64, fault: &Fault) {
+        self.faults.push_back((now, format!("{fault:?}")));
+        if self.faults.len() > 12 {
+            self.faults.pop_front();
+        }
+    }
+
+    pub fn note_attempt(&mut self, now: u64, slot: usize, uid: &str) {
+        watch(uid, || format!("{now}: sent to {slot}"));
+        self.requests.entry(uid.to_owned()).or_default().attempts += 1;
+    }
+
+    pub fn note_grant(&self, now: u64, server: usize, grant: &Grant, holders: &[(usize, bool)]) {
+        assert!(
+            holders.is_empty(),
+            "server {server} was granted shards of {grant:?} that {holders:?} hold at {now}; {}",
+            self.story(now)
+        );
+    }
+
+    pub fn note_run(&mut self, now: u64, server: usize, backends: &[Backend], order: &Order, request: &Request) {
+        let uid = String::from_utf8_lossy(&request.body).into_owned();
+        let story = self.story(now);
+        watch(&uid, || format!("{now}: run at {server} under {order:?}"));
+        let seen = self.requests.entry(uid.clone()).or_default();
+        seen.runs += 1;
+        seen.once = request.idempotency.is_some();
+        assert!(!seen.once || seen.runs == 1, "{uid} ran {} times at {now}; {story}", seen.runs);
+        assert!(seen.refused < seen.attempts, "{uid} ran after it was called not run at {now}; {story}");
+        let here = &backends[server];
+        for (index, other) in backends.iter().enumerate() {
+            let clock = Time::from_micros(now.saturating_add_signed(other.offset));
+            let same = other.entry == here.entry && index != server;
+            let busy = same && other.is_running(order.shard.index, now, clock);
+            assert!(!busy, "servers {server} and {index} run shard {} at {now}; {story}", order.shard.index);
+        }
+        let last = self.epochs.entry((here.entry.clone(), order.shard.index)).or_default();
+        assert!(order.epoch.0 >= *last, "epoch of {} fell at {now}; {story}", order.shard.index);
+        *last = order.epoch.0;
+        assert!(
+            here.running() <= here.bears(now),
+            "server {server} has {} of {} at {now}; {story}",
+            here.running(),
+            here.bears(now)
+        );
+    }
+
+    pub fn note_outcome(&mut self, now: u64, submitted: u64, uid: &str, entry: &str, outcome: &Outcome) {
+        let story = self.story(now);
+        watch(uid, || format!("{now}: {outcome:?}"));
+        let seen = self.requests.entry(uid.to_owned()).or_default();
+        let tally = match outcome {
+            Outcome::Answer(answer) => {
+                assert_eq!(answer.body, uid.as_bytes(), "{uid} got another answer; {story}");
+                if seen.once {
+                    assert_eq!(seen.runs, 1, "{uid} was answered without a run; {story}");
+                }
+                self.last_answer.insert(entry.to_owned(), submitted);
+                &mut self.answered
+            }
+            Outcome::NotRun(refusal) => {
+                *self.kinds.entry(format!("{entry} not run {refusal:?}")).or_default() += 1;
+                seen.refused += 1;
+                assert_eq!(seen.runs, 0, "{uid} was called not run at {now}; {story}");
+                &mut self.not_run
+            }
+            Outcome::Unknown(doubt) => {
+                *self.kinds.entry(format!("{entry} unknown {doubt:?}")).or_default() += 1;
+                &mut self.unknown
+            }
+        };
+        *tally.entry(entry.to_owned()).or_default() += 1;
+    }
+
+    fn story(&self, now: u64) -> String {
+        let lines: Vec<String> = self
+            .faults
+            .iter()
+            .map(|(at, fault)| format!("-{}ms {fault}", (now - at) / 1_000))
+            .collect();
+        lines.join(", ")
+    }
+}
+
+/// Prints what happens to the request that `AMARANTHSHUNT_WATCH` names.
+fn watch(uid: &str, line: impl Fn() -> String) {
+    if std::env::var("AMARANTHSHUNT_WATCH").is_ok_and(|watched| watched == uid) {
+        println!("{}", line());
+    }
+}
--- /dev/null
+++ b/crates/core/tests/core/fleet/store.rs
@@ -0,0 +1,118 @@
+//! A fake object store.
+
+use std::collections::{BTreeMap, HashMap};
+
+use amaranthshunt_core::HostId;
+use amaranthshunt_core::event::{StoreCall, StoreResult};
+use amaranthshunt_core::ids::{CallId, Revision};
+use amaranthshunt_core::object::{CONFIG_PREFIX, Object, ObjectKey};
+use bytes::Bytes;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+#[derive(Default)]
+pub struct Store {
+    objects: BTreeMap<ObjectKey, Object>,
+    revision: u64,
+    waits: HashMap<(CallId, HostId), u64>,
+    late: Vec<(u64, StoreCall)>,
+    pub down_until: u64,
+    pub lossy_until: u64,
+    pub slow_until: u64,
+}
+
+pub enum Answered {
+    Never,
+    After(u64, StoreResult),
+    Later(Revision),
+}
+
+impl Store {
+    pub fn set(&mut self, key: &ObjectKey, value: &[u8]) {
+        self.revision += 1;
+        let object = Object {
+            key: key.clone(),
+            revision: Revision(self.revision),
+            value: Some(Bytes::copy_from_slice(value)),
+        };
+        self.objects.insert(key.clone(), object);
+    }
+
+    pub fn orders(&self) -> Vec<ObjectKey> {
+        let prefix = format!("{CONFIG_PREFIX}order/");
+        self.objects.keys().filter(|key| key.0.starts_with(&prefix)).cloned().collect()
+    }
+
+    pub fn heal(&mut self) {
+        self.down_until = 0;
+        self.lossy_until = 0;
+        self.slow_until = 0;
+    }
+
+    /// Answers a call; a lossy or slow store may apply a write and lose or delay the reply.
+    pub fn call(&mut self, call: StoreCall, now: u64, rng: &mut SmallRng) -> Answered {
+        if self.down_until > now {
+            return Answered::Never;
+        }
+        if self.lossy_until > now && rng.random_range(0..2) == 0 {
+            if rng.random_range(0..2) == 0 {
+                self.late.push((now, call));
+            }
+            return Answered::Never;
+        }
+        let extra = if self.slow_until > now {
+            rng.random_range(20_000..400_000)
+        } else {
+            rng.random_range(500..4_000)
+        };
+        match self.apply(call) {
+            Some(result) => Answered::After(extra, result),
+            None => Answered::Later(Revision(self.revision)),
+        }
+    }
+
+    pub fn waited(&mut self, call: CallId, id: HostId, now: u64) -> bool {
+        let since = *self.waits.entry((call, id)).or_insert(now);
+        now > since + 5_000_000
+    }
+
+    pub fn take_late(&mut self) -> Vec<(u64, StoreCall)> {
+        std::mem::take(&mut self.late)
+    }
+
+    pub fn apply_late(&mut self, call: StoreCall) {
+        self.apply(call);
+    }
+
+    fn apply(&mut self, call: StoreCall) -> Option<StoreResult> {
+        match call {
+            StoreCall::Get { key } => {
+                let missing = Object { key: key.clone(), revision: Revision(0), value: None };
+                let object = self.objects.get(&key).cloned().unwrap_or(missing);
+                Some(StoreResult::Read(object))
+            }
+            StoreCall::Put { key, expected, value } => {
+                let current = self.objects.get(&key).map_or(Revision(0), |object| object.revision);
+                if current != expected {
+                    return Some(StoreResult::Conflict);
+                }
+                self.set(&key, &value);
+                Some(StoreResult::Written(Revision(self.revision)))
+            }
+            StoreCall::Watch { after } => {
+                let objects: Vec<Object> = self
+                    .objects
+                    .values()
+                    .filter(|object| object.key.0.starts_with(CONFIG_PREFIX))
+                    .filter(|object| object.revision > after)
+                    .cloned()
+                    .collect();
+                if objects.is_empty() {
+                    return None;
+                }
+                let complete = Revision(self.revision);
+                Some(StoreResult::Changes { objects, complete })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/core/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the core: focused ones by feature, and long randomised runs over small fakes.
+
+mod fleet;
+mod random;
--- /dev/null
+++ b/crates/core/tests/core/random.rs
@@ -0,0 +1,77 @@
+//! Long randomised runs with fixed seeds.
+
+use std::time::Duration;
+
+use super::fleet::{Fleet, Shape};
+
+/// Seeds of an ordinary test run; `AMARANTHSHUNT_SEEDS` asks for more.
+const SEEDS: u64 = 40;
+
+fn seeds() -> u64 {
+    let asked = std::env::var("AMARANTHSHUNT_SEEDS").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+}
+
+fn first_seed() -> u64 {
+    let asked = std::env::var("AMARANTHSHUNT_FIRST_SEED").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn promises_hold_while_messages_are_late() {
+    for seed in first_seed()..first_seed() + seeds() {
+        println!("seed {seed}");
+        let mut fleet = Fleet::new(&Shape::default(), seed);
+        fleet.run(Duration::from_secs(20));
+    }
+}
+
+fn run_with_faults(shape: &Shape, seed: u64, faults: u32) -> Fleet {
+    let mut fleet = Fleet::new(shape, seed);
+    fleet.run(Duration::from_secs(3));
+    for number in 0..faults {
+        let fault = fleet.draw_fault();
+        fleet.fault_after(Duration::ZERO, fault);
+        if number % 3 == 0 {
+            let second = fleet.draw_fault();
+            fleet.fault_after(Duration::from_millis(30), second);
+        }
+        fleet.run(Duration::from_millis(200 + u64::from(number * 97 % 900)));
+    }
+    fleet
+}
+
+#[test]
+fn promises_hold_under_every_fault_and_service_returns() {
+    for seed in first_seed()..first_seed() + seeds() {
+        println!("seed {seed}");
+        let mut fleet = run_with_faults(&Shape::default(), seed, 25);
+        fleet.heal();
+        fleet.run(Duration::from_secs(8));
+        let settled = fleet.now();
+        fleet.run(Duration::from_secs(2));
+        for entry in ["catalogue", "billing"] {
+            let last = fleet.checks.last_answer.get(entry).copied();
+            assert!(last > Some(settled), "seed {seed}: {entry} is not served after healing");
+        }
+    }
+}
+
+#[test]
+fn a_quiet_fleet_answers_everything() {
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(&Shape::default(), seed);
+        fleet.load = false;
+        fleet.jitter = false;
+        fleet.run(Duration::from_secs(3));
+        fleet.load = true;
+        fleet.run(Duration::from_secs(5));
+        let answered: u64 = fleet.checks.answered.values().sum();
+        let not_run: u64 = fleet.checks.not_run.values().sum();
+        let unknown: u64 = fleet.checks.unknown.values().sum();
+        println!("answered {answered}, {:?}", fleet.checks.kinds);
+        assert!(answered > 1_000);
+        assert_eq!(unknown, 0);
+        assert!(not_run * 200 < answered);
+    }
+}
