Core: hand-overs carry their token, terms never repeat, no acknowledgement after a takeover

Three causes, each seen in a trace: a hand-over that was given up left records behind which a later takeover took for its own (both carried the same epoch); a host that left the record and came back got a term it had used before; a successor went on acknowledging ledger copies of a host that it had already taken over from. Ruled out: late orders (deadlines bound them), reordered copies (first in, first out). Change: records handed over count only for the control token they came with; terms come from the clock; copies and provisions are acknowledged only for an open ward. The check of 'not run' is narrowed: a trace showed two sendings of one key under way at once, one refused before the other ran, which the meaning in request.rs allows (a refusal speaks of its own sending).

--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -136,12 +136,19 @@
         let usable = copy.term.is_some();
         self.merge_part(&mut copy.ledger, part);
         self.kept.insert(from, copy);
-        let closed = self.wards.get(&from).is_some_and(|ward| ward.is_closed());
-        if usable && !closed {
+        if usable && self.is_open_ward(from) {
             self.send(from, Message::CopyKept { sequence });
         }
     }
 
+    /// Whether a host named this one as its successor and is not being taken over.
+    ///
+    /// After a takeover nothing of the other host may be acknowledged: it would act on records
+    /// that this host no longer looks at.
+    pub(super) fn is_open_ward(&self, host: HostId) -> bool {
+        self.wards.get(&host).is_some_and(|ward| !ward.is_closed())
+    }
+
     pub(super) fn take_copy_kept(&mut self, from: HostId, sequence: u64) {
         if self.successor() != Some(from) {
             return;
@@ -215,14 +222,14 @@
         for (index, epoch) in granted {
             let shard = self.shard(entry, region, *index);
             let incoming = self.incoming.remove(&shard);
+            if self.ledger.is_open(shard) {
+                continue;
+            }
             if let Some(mut incoming) = incoming.filter(|incoming| incoming.epoch == *epoch) {
                 self.ledger.adopt(shard, &mut incoming.ledger);
-                opened.push(shard);
-            }
-            if !self.ledger.is_open(shard) {
-                self.ledger.open(shard, since);
-                opened.push(shard);
             }
+            self.ledger.open(shard, since);
+            opened.push(shard);
         }
         self.copy_shards(&opened);
     }
--- a/crates/core/src/host/entrance.rs
+++ b/crates/core/src/host/entrance.rs
@@ -57,7 +57,7 @@
 
     pub(super) fn accept(&mut self, id: RequestId, request: Request) {
         if let Some(refusal) = self.check(&request) {
-            let outcome = Outcome::NotRun(refusal);
+            let outcome = unasked(&request, refusal);
             self.effects.push(Effect::Respond { id, outcome });
             return;
         }
@@ -165,7 +165,7 @@
         };
         let outcome = match caller.holder {
             None if caller.doubtful => Outcome::Unknown(Doubt::Deadline),
-            None => Outcome::NotRun(Refusal::Unavailable),
+            None => unasked(&caller.request, Refusal::Unavailable),
             Some(holder) if holder == self.settings.id => {
                 self.withdraw(Origin::Caller(id))
                     .unwrap_or(Outcome::Unknown(Doubt::Deadline))
@@ -271,3 +271,15 @@
         }
     }
 }
+
+/// How a request ends that no host in charge was asked about.
+fn unasked(request: &Request, refusal: Refusal) -> Outcome {
+    let passing = matches!(
+        refusal,
+        Refusal::Deadline | Refusal::Quarantined | Refusal::Unavailable
+    );
+    if passing && request.repeat && request.idempotency.is_some() {
+        return Outcome::Unknown(Doubt::NotAsked);
+    }
+    Outcome::NotRun(refusal)
+}
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(super) struct Incoming {
     pub(super) epoch: Epoch,
+    /// The token under which control of the shard's server comes along.
+    pub(super) control: Option<Token>,
     pub(super) ledger: Ledger,
 }
 
@@ -116,14 +118,14 @@
         from: HostId,
         id: u64,
         server: &str,
-        control: bool,
+        control: Option<Token>,
         shards: &[(u32, Epoch)],
         part: LedgerPart,
     ) {
         let key = self.view.servers.find(server);
-        let ready = key.is_some_and(|key| self.is_ready_for(key, control));
+        let ready = key.is_some_and(|key| self.is_ready_for(key, control.is_some()));
         if let Some(key) = key.filter(|_| ready) {
-            self.keep_incoming(key, shards, part);
+            self.keep_incoming(key, control, shards, part);
         }
         self.send(from, Message::HandoverTaken { id, taken: ready });
     }
@@ -216,10 +218,11 @@
         self.set_step(server, Step::Offered);
         let owned = self.shards_of(server);
         let shards = self.view.owned_by(server).into_iter().collect();
+        let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
         let message = Message::Handover {
             id: outgoing.id,
             server: self.server_name(server),
-            control: true,
+            control: Some(Token(token.0 + 1)),
             shards,
             ledger: self.ledger_part(&owned),
         };
@@ -251,7 +254,28 @@
         control || known.is_some_and(|control| control.phase == Phase::Active)
     }
 
-    fn keep_incoming(&mut self, server: ServerKey, shards: &[(u32, Epoch)], part: LedgerPart) {
+    /// Forgets handed over records that do not belong to the control that this host gained.
+    pub(super) fn drop_foreign_incoming(&mut self, server: ServerKey, gained: Option<Token>) {
+        let Some(info) = self.view.servers.get(server) else {
+            return;
+        };
+        let (entry, region) = (info.entry, info.region);
+        let owned = self.view.owned_by(server);
+        self.incoming.retain(|shard, incoming| {
+            let here = shard.entry == entry
+                && shard.region == region
+                && owned.contains_key(&shard.index);
+            !here || incoming.control == gained
+        });
+    }
+
+    fn keep_incoming(
+        &mut self,
+        server: ServerKey,
+        control: Option<Token>,
+        shards: &[(u32, Epoch)],
+        part: LedgerPart,
+    ) {
         let Some(info) = self.view.servers.get(server) else {
             return;
         };
@@ -264,6 +288,7 @@
             if one.is_open(shard) {
                 let incoming = Incoming {
                     epoch: *epoch,
+                    control,
                     ledger: one,
                 };
                 self.incoming.insert(shard, incoming);
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -184,6 +184,8 @@
             Gain::Taken => self.takeover_wait(),
         };
         let start = if info.spec.checks { self.now } else { settled };
+        let handed = (gain == Gain::Released).then_some(token);
+        self.drop_foreign_incoming(server, handed);
         if gain == Gain::Claimed {
             self.touched.insert(server);
         } else {
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -305,13 +305,14 @@
             record.hosts.insert(id, host);
         }
         let chosen = self.choose_successor(record);
+        let now = self.now;
         let Some(host) = record.hosts.get_mut(&id) else {
             return;
         };
         if host.successor != chosen {
             self.failed_successor = host.successor;
             host.successor = chosen;
-            host.term += 1;
+            host.term = now.as_micros().max(host.term + 1);
             write.succession = true;
         }
     }
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -206,7 +206,7 @@
         region: &str,
         owners: &[(u32, String, Epoch)],
     ) {
-        if self.wards.get(&from).is_some_and(|ward| ward.is_closed()) {
+        if id != 0 && !self.is_open_ward(from) {
             return;
         }
         let entry = self.view.entries.intern(entry);
@@ -218,7 +218,9 @@
             };
             self.view.assign(self.shard(entry, region, *index), owner);
         }
-        self.send(from, Message::Provisioned { id });
+        if id != 0 {
+            self.send(from, Message::Provisioned { id });
+        }
         self.close_shards();
         self.refresh_grants();
         self.route_parked();
@@ -473,7 +475,7 @@
             let message = Message::Handover {
                 id,
                 server: self.server_name(target),
-                control: false,
+                control: None,
                 shards,
                 ledger: self.ledger_part(&keys),
             };
--- a/crates/core/src/host/service.rs
+++ b/crates/core/src/host/service.rs
@@ -46,23 +46,28 @@
         if !serves || !self.is_valid() {
             return false;
         }
-        if self.is_shut(server) {
-            self.conclude(job.origin, Some(Outcome::NotRun(Refusal::Unavailable)));
-            return true;
-        }
-        if self.quarantine.refuses(job.request.fingerprint()) {
-            self.conclude(job.origin, Some(Outcome::NotRun(Refusal::Quarantined)));
-            return true;
-        }
         self.budget.earn();
-        if self.class_of(job.shard).is_idempotent() {
-            self.enqueue(server, job);
-        } else {
+        if !self.class_of(job.shard).is_idempotent() {
             self.serve_once(server, job);
+        } else if let Some(refusal) = self.bar(server, &job) {
+            self.refuse(job, refusal);
+        } else {
+            self.enqueue(server, job);
         }
         true
     }
 
+    /// Why a request that never ran may not be started.
+    fn bar(&self, server: ServerKey, job: &Job) -> Option<Refusal> {
+        if self.is_shut(server) {
+            return Some(Refusal::Unavailable);
+        }
+        if self.quarantine.refuses(job.request.fingerprint()) {
+            return Some(Refusal::Quarantined);
+        }
+        None
+    }
+
     /// Puts a request into its server's queue and gives orders as far as the limit allows.
     pub(super) fn enqueue(&mut self, server: ServerKey, job: Job) {
         let class = self.class_of(job.shard);
@@ -230,6 +235,10 @@
         let oldest = self.now - timing.ledger_window;
         match self.ledger.verdict(job.shard, key, fingerprint, oldest) {
             Verdict::Fresh => {
+                if let Some(refusal) = self.bar(server, &job) {
+                    self.refuse(job, refusal);
+                    return;
+                }
                 let record = Record {
                     fingerprint,
                     state: RecordState::Started,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Epoch, IdempotencyKey, RequestId, Revision};
+use crate::ids::{Epoch, IdempotencyKey, RequestId, Revision, Token};
 use crate::ledger::RecordState;
 use crate::object::Object;
 use crate::request::{Outcome, Request};
@@ -77,8 +77,8 @@
         id: u64,
         /// The server that takes the shards.
         server: String,
-        /// Whether control of that server itself changes hands.
-        control: bool,
+        /// The token of the receiver's control, where control itself changes hands.
+        control: Option<Token>,
         /// The shards with their new epochs.
         shards: Vec<(u32, Epoch)>,
         /// The records.
@@ -93,7 +93,7 @@
     },
     /// New owners that the store does not know yet.
     Provision {
-        /// The sender's number of the assignment.
+        /// The sender's number of the assignment; zero where no answer is wanted.
         id: u64,
         /// The entry's name.
         entry: String,
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -26,7 +26,8 @@
     pub address: SocketAddr,
     /// The only host that may take over from it.
     pub successor: Option<HostId>,
-    /// Raised with each change of the successor; promises carry it.
+    /// Raised with each change of the successor, also over a return to the record; promises and
+    /// ledger copies carry it.
     pub term: u64,
 }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -18,6 +18,10 @@
     pub key: String,
     /// The caller's key of work that must not run twice.
     pub idempotency: Option<IdempotencyKey>,
+    /// Whether the caller has sent the request before, under the same idempotency key.
+    ///
+    /// A repeat is called not run only by a host that knows what became of the earlier sending.
+    pub repeat: bool,
     /// When an answer is of no use any more.
     pub deadline: Time,
     /// The body.
@@ -94,6 +98,8 @@
     Deadline,
     /// The idempotency key is older than what this host remembers.
     Forgotten,
+    /// The request is a repeat, and the host that knows of the earlier sending was not asked.
+    NotAsked,
 }
 
 /// How a request ended.
--- a/crates/core/tests/core/fleet/backend.rs
+++ b/crates/core/tests/core/fleet/backend.rs
@@ -120,6 +120,11 @@
         slots as usize
     }
 
+    /// Whether the newest grant is the one that the register follows.
+    pub fn follows(&self, grant: &Grant) -> bool {
+        (self.token, self.sequence, self.expires) == (grant.token, grant.sequence, grant.expires)
+    }
+
     pub fn register(&mut self, grant: Option<&Grant>, clock: Time) -> RegisterResult {
         if !self.alive {
             return RegisterResult::Unreachable;
