Core: a shard is released only by a grant of its own control

Ruled out: a delayed older grant (the sequence number refuses it). Change: a release needs a grant sent after the release began and confirmed; control is handed over only once unconfirmed grants have lapsed; queued work of a server taken out is refused.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -123,6 +123,8 @@
     pub lease_until: Time,
     /// The end of the newest lease that the server confirmed.
     pub confirmed_until: Time,
+    /// When the newest grant that the server confirmed was sent.
+    pub confirmed_at: Time,
     /// Shards in the newest grant that the server confirmed.
     pub granted: BTreeMap<u32, Epoch>,
     /// Shards in grants that may have arrived unconfirmed, with the end of their lease.
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -203,8 +203,11 @@
 
     fn is_idle(&self, server: ServerKey) -> bool {
         let now = self.now;
+        let drift = self.timing().drift();
         self.controls.get(&server).is_some_and(|control| {
-            let ghosts = control.ghosts.iter().any(|end| *end > now);
+            let orders = control.ghosts.iter().any(|end| *end > now);
+            let grants = control.unconfirmed.iter().any(|(end, _)| *end + drift > now);
+            let ghosts = orders || grants;
             control.running.is_empty() && !ghosts && control.call.is_none()
         })
     }
@@ -265,7 +268,7 @@
             let here = shard.entry == entry
                 && shard.region == region
                 && owned.contains_key(&shard.index);
-            !here || incoming.control == gained
+            !here || (gained.is_some() && incoming.control == gained)
         });
     }
 
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -198,6 +198,7 @@
             boot: None,
             lease_until: settled,
             confirmed_until: Time::ZERO,
+            confirmed_at: Time::ZERO,
             granted: BTreeMap::new(),
             unconfirmed: Vec::new(),
             sequence: 0,
@@ -339,6 +340,7 @@
         if let Some(expires) = open.expires {
             control.lease_until = control.lease_until.max(expires);
             control.confirmed_until = expires;
+            control.confirmed_at = open.sent;
             control.granted.clone_from(&offered);
             self.open_shards(server, &offered);
         } else {
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -409,12 +409,13 @@
                 .any(|(end, shards)| *end + drift > now && shards.contains(index));
             confirmed || open || possible
         };
-        let released = !moving.shards.keys().any(holds);
+        let told = control.confirmed_at >= moving.since;
+        let released = told && !moving.shards.keys().any(holds);
         if released || control.phase == Phase::Lost {
             self.set_move_step(server, MoveStep::Handing);
             self.hand(server);
-        } else {
-            self.refresh_grants();
+        } else if !told {
+            self.call_register(server);
         }
     }
 
--- a/crates/core/src/host/service.rs
+++ b/crates/core/src/host/service.rs
@@ -113,6 +113,10 @@
                 continue;
             }
             let serves = control.serves(job.shard.index, now);
+            if self.is_shut(server) {
+                self.refuse(job, Refusal::Unavailable);
+                continue;
+            }
             if !serves || !self.is_valid() {
                 self.bounce(job);
                 continue;
