Core: ledger records carry the tenure they belong to

Change: each shard's records carry epoch and fence token; a successor takes over only those of the tenure that just ended.

--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -5,8 +5,8 @@
 
 use super::Host;
 use crate::control::{Job, Origin};
-use crate::ids::{Epoch, HostId, IdempotencyKey, ServerKey, ShardKey};
-use crate::ledger::{Ledger, Record};
+use crate::ids::{Epoch, HostId, IdempotencyKey, ServerKey, ShardKey, Token};
+use crate::ledger::{Ledger, Record, Tenure};
 use crate::message::{LedgerPart, LedgerRecord, Message, ShardSince};
 use crate::request::Doubt;
 use crate::time::Time;
@@ -182,18 +182,26 @@
     ///
     /// Requests that were under way there may have run.
     pub(super) fn inherit_ledger(&mut self, server: ServerKey, host: HostId, term: u64) {
-        let shards = self.shards_of(server);
-        let Some(copy) = self.kept.get_mut(&host) else {
+        let Some(token) = self.controls.get(&server).map(|control| control.token) else {
             return;
         };
-        if copy.term != Some(term) {
-            return;
-        }
-        copy.ledger.abandon_shards(&shards, Doubt::HostLost);
-        for shard in &shards {
-            self.ledger.adopt(*shard, &mut copy.ledger);
+        let lost = Token(token.0.saturating_sub(1));
+        let shards = self.shards_of(server);
+        let mut inherited = Vec::new();
+        for shard in shards {
+            let epoch = self.view.owner(shard).map_or(Epoch(0), |owner| owner.epoch);
+            let tenure = Tenure { epoch, token: lost };
+            let Some(copy) = self.kept.get_mut(&host) else {
+                return;
+            };
+            if copy.term == Some(term) && copy.ledger.tenure(shard) == Some(tenure) {
+                copy.ledger.abandon(shard, Doubt::HostLost);
+                self.ledger.adopt(shard, &mut copy.ledger);
+                self.ledger.enter(shard, Tenure { epoch, token });
+                inherited.push(shard);
+            }
         }
-        self.copy_shards(&shards);
+        self.copy_shards(&inherited);
     }
 
     /// The shards that a server owns.
@@ -216,20 +224,26 @@
             return;
         };
         let (entry, region) = (info.entry, info.region);
+        let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
         let timing = self.timing();
         let since = self.now + timing.key_ahead + timing.drift();
         let mut opened = Vec::new();
         for (index, epoch) in granted {
             let shard = self.shard(entry, region, *index);
             let incoming = self.incoming.remove(&shard);
-            if self.ledger.is_open(shard) {
-                continue;
-            }
-            if let Some(mut incoming) = incoming.filter(|incoming| incoming.epoch == *epoch) {
+            if !self.ledger.is_open(shard)
+                && let Some(mut incoming) = incoming.filter(|incoming| incoming.epoch == *epoch)
+            {
                 self.ledger.adopt(shard, &mut incoming.ledger);
             }
             self.ledger.open(shard, since);
-            opened.push(shard);
+            let tenure = Tenure {
+                epoch: *epoch,
+                token,
+            };
+            if self.ledger.enter(shard, tenure) {
+                opened.push(shard);
+            }
         }
         self.copy_shards(&opened);
     }
@@ -283,6 +297,7 @@
             let shard = self.intern_shard(&line.entry, &line.region, line.index);
             ledger.close(shard);
             ledger.open(shard, line.since);
+            ledger.enter(shard, line.tenure);
         }
         for line in part.records {
             let shard = self.intern_shard(&line.entry, &line.region, line.index);
@@ -306,6 +321,7 @@
             region: self.view.regions.name(shard.region).to_owned(),
             index: shard.index,
             since,
+            tenure: self.ledger.tenure(shard).unwrap_or_default(),
         }
     }
 
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{IdempotencyKey, ShardKey};
+use crate::ids::{Epoch, IdempotencyKey, ShardKey, Token};
 use crate::request::{Answer, Doubt, Refusal};
 use crate::time::Time;
 
@@ -46,6 +46,18 @@
     Refused(Refusal),
 }
 
+/// Under which ownership and control a shard's records are kept.
+///
+/// A shard gets another tenure with each change of its owner and of its owner's host, so
+/// records of an earlier tenure cannot pass for current ones.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tenure {
+    /// The shard's epoch.
+    pub epoch: Epoch,
+    /// The fence token of the owner's host.
+    pub token: Token,
+}
+
 /// The records of the shards that a host is in charge of.
 ///
 /// Every shard has a key time from which its records are complete. A key from before is
@@ -58,6 +70,7 @@
 #[derive(Clone, Debug, Default)]
 struct Part {
     since: Time,
+    tenure: Tenure,
     records: HashMap<IdempotencyKey, Record>,
 }
 
@@ -68,10 +81,26 @@
     pub fn open(&mut self, shard: ShardKey, since: Time) {
         self.shards.entry(shard).or_insert_with(|| Part {
             since,
+            tenure: Tenure::default(),
             records: HashMap::new(),
         });
     }
 
+    /// Enters a tenure for an open shard; returns whether it is a new one.
+    pub fn enter(&mut self, shard: ShardKey, tenure: Tenure) -> bool {
+        let Some(part) = self.shards.get_mut(&shard) else {
+            return false;
+        };
+        let new = part.tenure != tenure;
+        part.tenure = tenure;
+        new
+    }
+
+    /// The tenure of an open shard.
+    pub fn tenure(&self, shard: ShardKey) -> Option<Tenure> {
+        self.shards.get(&shard).map(|part| part.tenure)
+    }
+
     /// Whether a shard is open.
     pub fn is_open(&self, shard: ShardKey) -> bool {
         self.shards.contains_key(&shard)
@@ -145,16 +174,14 @@
         }
     }
 
-    /// Turns requests that were under way at a lost host into doubtful ones.
-    pub fn abandon_shards(&mut self, shards: &[ShardKey], doubt: Doubt) {
-        for shard in shards {
-            let Some(part) = self.shards.get_mut(shard) else {
-                continue;
-            };
-            let records = part.records.values_mut();
-            for record in records.filter(|record| record.state == RecordState::Started) {
-                record.state = RecordState::Doubtful(doubt);
-            }
+    /// Turns a shard's requests that were under way at a lost host into doubtful ones.
+    pub fn abandon(&mut self, shard: ShardKey, doubt: Doubt) {
+        let Some(part) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        let records = part.records.values_mut();
+        for record in records.filter(|record| record.state == RecordState::Started) {
+            record.state = RecordState::Doubtful(doubt);
         }
     }
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{Epoch, IdempotencyKey, RequestId, Revision, Token};
-use crate::ledger::RecordState;
+use crate::ledger::{RecordState, Tenure};
 use crate::object::Object;
 use crate::request::{Outcome, Request};
 use crate::time::Time;
@@ -136,6 +136,8 @@
     pub index: u32,
     /// The key time from which no record is missing.
     pub since: Time,
+    /// Under which ownership and control the records are kept.
+    pub tenure: Tenure,
 }
 
 /// A ledger record on the wire.
