Core: count the old host's work from the first grant on; forget replaced hand-overs

Cause: two traces. Change: the count is taken from the first confirmed grant; a hand-over replaces whatever was kept for its shards.

--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -288,6 +288,7 @@
             let shard = self.shard(entry, region, *index);
             let mut one = Ledger::default();
             one.adopt(shard, &mut ledger);
+            self.incoming.remove(&shard);
             if one.is_open(shard) {
                 let incoming = Incoming {
                     epoch: *epoch,
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -329,7 +329,7 @@
         let Some(control) = self.controls.get_mut(&server) else {
             return;
         };
-        let first = control.boot.is_none();
+        let first = open.expires.is_some() && control.confirmed_at == Time::ZERO;
         let restarted = control.boot.is_some_and(|boot| boot != state.boot);
         control.boot = Some(state.boot);
         control.answered = now;
