Core: one record for a region; a takeover also takes over succession

Two hosts that succeeded each other and died together were never taken over. Ways weighed: orphan claims after reading all records (a host may return to its record in between, two hosts would be valid); membership in two records at once (two validities for one host); one record for the region (chosen). Change: hosts and control of a region share one record; a successor inherits the lost host's own succession, and waits for promises the lost one may still have given; operators can declare a run of a host lost; a touch counts only for the token it was made under.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -29,9 +29,9 @@
 use crate::ledger::Ledger;
 use crate::log::{Code, Record};
 use crate::message::Message;
-use crate::names::DomainName;
+use crate::object::ObjectKey;
 use crate::quarantine::Quarantine;
-use crate::record::DomainRecord;
+use crate::record::RegionRecord;
 use crate::settings::{HostSettings, Timing};
 use crate::time::Time;
 use crate::timer::{Timers, Wake};
@@ -234,10 +234,13 @@
         });
     }
 
-    fn own_record(&self) -> Option<&DomainRecord> {
-        self.view
-            .domain(&self.settings.domain)
-            .map(|kept| &kept.record)
+    fn own_record(&self) -> Option<&RegionRecord> {
+        let region = self.view.regions.find(self.region())?;
+        self.view.record(region).map(|kept| &kept.record)
+    }
+
+    fn region_key(&self) -> ObjectKey {
+        ObjectKey::region(self.region())
     }
 
     fn successor(&self) -> Option<HostId> {
@@ -246,11 +249,10 @@
     }
 
     fn region_peers(&self) -> Vec<HostId> {
-        let region = self.region();
-        self.view
-            .domains()
-            .filter(|(name, _)| name.region() == region)
-            .flat_map(|(_, record)| record.hosts.keys().copied())
+        let record = self.own_record();
+        record
+            .into_iter()
+            .flat_map(|record| record.hosts.keys().copied())
             .filter(|host| *host != self.settings.id)
             .collect()
     }
@@ -259,11 +261,6 @@
         self.view.servers.name(server).to_owned()
     }
 
-    fn server_domain(&self, server: ServerKey) -> Option<DomainName> {
-        let info = self.view.servers.get(server)?;
-        Some(info.spec.domain.clone())
-    }
-
     fn run_timers(&mut self) {
         while let Some(wake) = self.timers.pop_due(self.now) {
             match wake {
--- a/crates/core/src/host/entrance.rs
+++ b/crates/core/src/host/entrance.rs
@@ -242,12 +242,12 @@
     }
 
     fn forward(&mut self, id: RequestId, host: HostId, mut request: Request) {
-        let Some((domain, _)) = self.view.host(host) else {
+        let Some(record) = self.view.host(host) else {
             self.park(id);
             return;
         };
         let home = self.home_regions(&request.entry, &request.tenant);
-        let allowed = home.iter().any(|region| region == domain.region());
+        let allowed = home.iter().any(|region| region == record.domain.region());
         ensure(Invariant::HomeRegions, allowed);
         request.deadline = request.deadline - RETURN_MARGIN;
         self.set_holder(id, host);
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -8,8 +8,7 @@
 use crate::ledger::Ledger;
 use crate::log::Code;
 use crate::message::{LedgerPart, Message};
-use crate::names::DomainName;
-use crate::record::{ControlRecord, DomainRecord};
+use crate::record::{ControlRecord, RegionRecord};
 use crate::time::Time;
 
 /// Time within which a hand-over has to be taken.
@@ -78,15 +77,16 @@
                 Step::Offered if self.now.since(outgoing.since) > ANSWER => {
                     self.abort_handover(server);
                 }
+                Step::Taken if self.is_gone(outgoing.to) => self.abort_handover(server),
                 Step::Draining | Step::Offered | Step::Taken => {}
             }
         }
     }
 
-    /// Puts control that was handed over into a failure domain's record.
-    pub(super) fn plan_handovers(&self, name: &DomainName, record: &mut DomainRecord) {
+    /// Puts control that was handed over into the region's record.
+    pub(super) fn plan_handovers(&self, record: &mut RegionRecord) {
         for (server, outgoing) in &self.outgoing {
-            if outgoing.step != Step::Taken || self.server_domain(*server).as_ref() != Some(name) {
+            if outgoing.step != Step::Taken {
                 continue;
             }
             let server_name = self.view.servers.name(*server);
@@ -97,7 +97,7 @@
                 continue;
             }
             match outgoing.to {
-                Some(host) if record_knows(self, record, host) => {
+                Some(host) if record.hosts.contains_key(&host) => {
                     let next = ControlRecord {
                         host,
                         token: Token(control.token.0 + 1),
@@ -241,6 +241,13 @@
         }
     }
 
+    /// Whether the receiver of a hand-over has left the record, with no write under way that
+    /// could still give it control.
+    fn is_gone(&self, to: Option<HostId>) -> bool {
+        let writing = self.is_writing(&self.region_key());
+        !writing && to.is_some_and(|host| self.view.host(host).is_none())
+    }
+
     fn set_step(&mut self, server: ServerKey, step: Step) {
         if let Some(outgoing) = self.outgoing.get_mut(&server) {
             outgoing.step = step;
@@ -300,7 +307,3 @@
         }
     }
 }
-
-fn record_knows(host: &Host, record: &DomainRecord, id: HostId) -> bool {
-    record.hosts.contains_key(&id) || host.view.host(id).is_some()
-}
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -140,13 +140,8 @@
     /// Whether the record still gives this host the control that it has.
     fn is_recorded(&self, server: ServerKey, id: crate::ids::HostId) -> bool {
         let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
-        let Some(info) = self.view.servers.get(server) else {
-            return false;
-        };
-        let domain = self.view.domain(&info.spec.domain);
-        domain
-            .and_then(|kept| kept.record.control.get(&info.spec.name))
-            .is_some_and(|record| record.host == id && record.token <= token)
+        let record = self.view.control_record(server);
+        record.is_some_and(|record| record.host == id && record.token <= token)
     }
 
     /// The shards that the next grant should carry.
@@ -167,8 +162,7 @@
         let Some(limits) = self.limits_of(server) else {
             return;
         };
-        let domain = self.view.domain(&info.spec.domain);
-        let Some(record) = domain.and_then(|kept| kept.record.control.get(&info.spec.name)) else {
+        let Some(record) = self.view.control_record(server).copied() else {
             return;
         };
         let token = record.token;
@@ -181,7 +175,7 @@
         };
         let settled = match gain {
             Gain::Claimed | Gain::Released => self.now,
-            Gain::Taken => self.takeover_wait(),
+            Gain::Taken => self.takeover_wait(self.heirs.get(&server).map(|(host, _)| *host)),
         };
         let start = if info.spec.checks { self.now } else { settled };
         let handed = (gain == Gain::Released).then_some(token);
@@ -288,7 +282,7 @@
         let Some(control) = self.controls.get_mut(&server) else {
             return;
         };
-        if control.call.is_some() {
+        if control.call.is_some() || control.phase == Phase::Leaving {
             return;
         }
         let grants = control.phase == Phase::Active && !control.unsure && grantable;
@@ -343,7 +337,7 @@
             control.confirmed_at = open.sent;
             control.granted.clone_from(&offered);
             self.open_shards(server, &offered);
-        } else {
+        } else if control.phase == Phase::Active {
             self.call_register(server);
         }
         if restarted {
@@ -380,7 +374,7 @@
 
     /// Steps back from a server that follows a higher token until the record is settled.
     fn take_fence(&mut self, server: ServerKey, token: Token) {
-        let wait = self.takeover_wait();
+        let wait = self.takeover_wait(None);
         let name = self.server_name(server);
         self.log(Code::Fenced, name, token.to_string());
         if let Some(control) = self.controls.get_mut(&server) {
@@ -389,9 +383,7 @@
             control.unsure = true;
             control.token = Token(token.0 + 1);
         }
-        if let Some(domain) = self.server_domain(server) {
-            self.read(crate::object::ObjectKey::domain(&domain));
-        }
+        self.read(self.region_key());
     }
 
     /// Counts a crash against the requests that the server had when it went.
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -5,13 +5,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Host;
-use super::storage::{DomainWrite, Purpose};
+use super::storage::{RegionWrite, Purpose};
+use crate::catalogue::Server;
 use crate::ids::{HostId, Revision, ServerKey, Token};
 use crate::log::Code;
 use crate::message::Message;
-use crate::names::DomainName;
-use crate::object::ObjectKey;
-use crate::record::{ControlRecord, DomainRecord, HostRecord, Subject};
+use crate::record::{ControlRecord, RegionRecord, HostRecord, Subject};
 use crate::time::Time;
 use crate::timer::Wake;
 use crate::validity::Ward;
@@ -41,7 +40,7 @@
         revision: Revision,
     ) {
         let now = self.now;
-        let mine = self.on_record;
+        let mine = self.on_record && self.may_promise(from);
         if let Some(ward) = self.wards.get_mut(&from) {
             ward.heard = now;
             if mine && ward.promise(term, now) {
@@ -75,27 +74,17 @@
         self.compare_revision(from, revision);
     }
 
-    /// Brings the records of failure domains and this host's part in them up to date.
+    /// Brings the region's record and this host's part in it up to date.
     pub(super) fn sync_membership(&mut self) {
         self.note_own_record();
         self.sync_wards();
-        let names: Vec<DomainName> = self
-            .view
-            .domains()
-            .map(|(name, _)| name.clone())
-            .filter(|name| *name != self.settings.domain)
-            .collect();
-        for name in names {
-            self.reconcile_domain(&name);
-        }
         if self.view.revision() > Revision(0) {
-            let own = self.settings.domain.clone();
-            self.reconcile_domain(&own);
+            self.reconcile_region();
         }
     }
 
-    pub(super) fn complete_domain_write(&mut self, write: &DomainWrite, sent: Time) {
-        if write.name == self.settings.domain && self.on_record {
+    pub(super) fn complete_region_write(&mut self, write: &RegionWrite, sent: Time) {
+        if self.on_record {
             self.validity.confirm_by_store(sent);
         }
         if write.succession {
@@ -103,13 +92,13 @@
         }
         for (host, _) in &write.taken {
             self.wards.remove(host);
-            self.log(Code::TakeoverRecorded, host.to_string(), write.name.as_str());
-            self.audit("takeover", &host.to_string(), write.name.as_str());
+            self.log(Code::TakeoverRecorded, host.to_string(), "");
+            self.audit("takeover", &host.to_string(), "");
         }
         self.sync_membership();
     }
 
-    pub(super) fn give_up_domain_write(&mut self, write: &DomainWrite) {
+    pub(super) fn give_up_region_write(&mut self, write: &RegionWrite) {
         for (host, _) in &write.taken {
             if let Some(ward) = self.wards.get_mut(host) {
                 ward.reopen();
@@ -125,6 +114,14 @@
         Some(record.hosts.get(&self.settings.id)?.term)
     }
 
+    /// Whether a promise to a host binds whoever could take over from it.
+    ///
+    /// While this host is valid nobody has replaced it as the successor. A host that is this
+    /// one's own successor is the only one that could replace it, and it would know.
+    fn may_promise(&self, host: HostId) -> bool {
+        self.is_valid() || self.successor() == Some(host)
+    }
+
     fn send_heartbeat(&mut self) {
         let (Some(successor), Some(term)) = (self.successor(), self.own_term()) else {
             return;
@@ -141,7 +138,7 @@
     fn ask_store_for_validity(&mut self) {
         let quiet = self.now.since(self.validity.promised());
         if self.on_record && quiet > self.timing().heartbeat * MISSED {
-            self.read(ObjectKey::domain(&self.settings.domain));
+            self.read(self.region_key());
         }
     }
 
@@ -176,12 +173,12 @@
     fn sync_wards(&mut self) {
         let id = self.settings.id;
         let now = self.now;
+        let validity = self.timing().validity;
         let mut named = Vec::new();
-        for (_, record) in self.view.domains() {
-            for (host, kept) in &record.hosts {
-                if kept.successor == Some(id) {
-                    named.push((*host, kept.term));
-                }
+        let hosts = self.own_record().into_iter().flat_map(|record| &record.hosts);
+        for (host, kept) in hosts {
+            if kept.successor == Some(id) {
+                named.push((*host, kept.term));
             }
         }
         self.wards
@@ -189,7 +186,7 @@
         for (host, term) in named {
             let current = self.wards.get(&host).map(|ward| ward.term);
             if current != Some(term) {
-                self.wards.insert(host, Ward::new(host, term, now));
+                self.wards.insert(host, Ward::new(host, term, now, validity));
             }
         }
     }
@@ -208,10 +205,7 @@
             }
         }
         for (host, heard, overdue) in silent {
-            let Some((domain, _)) = self.view.host(host) else {
-                continue;
-            };
-            let key = ObjectKey::domain(domain);
+            let key = self.region_key();
             let checked = self.storage.read_at.get(&key).copied();
             let fresh = checked.is_some_and(|read| read > heard);
             if overdue && fresh && self.is_valid() && !self.is_writing(&key) {
@@ -229,64 +223,77 @@
         let name = self
             .view
             .host(host)
-            .map_or_else(String::new, |(_, record)| record.name.clone());
+            .map_or_else(String::new, |record| record.name.clone());
         self.log(Code::TakeoverBegun, name, host.to_string());
     }
 
-    /// Writes a failure domain's record where it is not what it should be.
-    pub(super) fn reconcile_domain(&mut self, name: &DomainName) {
-        let key = ObjectKey::domain(name);
+    /// Writes the region's record where it is not what it should be.
+    fn reconcile_region(&mut self) {
+        let key = self.region_key();
         if self.is_writing(&key) {
             return;
         }
-        let (revision, old) = match self.view.domain(name) {
-            Some(kept) => (kept.revision, kept.record.clone()),
-            None => (self.view.revision_of(&key), DomainRecord::default()),
-        };
+        let revision = self.view.revision_of(&key);
+        let old = self.own_record().cloned().unwrap_or_default();
         let mut record = old.clone();
-        let mut write = DomainWrite {
-            name: name.clone(),
+        let mut write = RegionWrite {
             taken: Vec::new(),
             claimed: Vec::new(),
             succession: false,
         };
         self.plan_takeovers(&mut record, &mut write);
-        self.plan_handovers(name, &mut record);
-        if *name == self.settings.domain {
-            self.plan_own_host(&mut record, &mut write);
-            self.plan_claims(&mut record, &mut write);
-        }
+        self.plan_handovers(&mut record);
+        self.plan_own_host(&mut record, &mut write);
+        self.plan_claims(&mut record, &mut write);
         self.plan_tokens(&mut record);
         if record != old {
-            self.write(key, revision, &record, Purpose::Domain(write));
+            self.write(key, revision, &record, Purpose::Region(write));
         }
     }
 
-    fn plan_takeovers(&self, record: &mut DomainRecord, write: &mut DomainWrite) {
+    fn plan_takeovers(&self, record: &mut RegionRecord, write: &mut RegionWrite) {
         if !self.on_record {
             return;
         }
-        for ward in self.wards.values().filter(|ward| ward.is_closed()) {
-            let named = record
-                .hosts
-                .get(&ward.host)
-                .is_some_and(|host| host.successor == Some(self.settings.id));
-            if !named {
-                continue;
+        let silent = self.wards.values().filter(|ward| ward.is_closed());
+        let mut taken: Vec<(HostId, u64)> = silent
+            .filter(|ward| {
+                let host = record.hosts.get(&ward.host);
+                host.is_some_and(|host| host.successor == Some(self.settings.id))
+            })
+            .map(|ward| (ward.host, ward.term))
+            .collect();
+        for (id, host) in &record.hosts {
+            let lost = self.view.is_out(&Subject::Lost(*id)) && *id != self.settings.id;
+            if lost && !taken.iter().any(|(known, _)| known == id) {
+                taken.push((*id, host.term));
+            }
+        }
+        for (host, _) in &taken {
+            self.take_over(*host, record);
+        }
+        write.taken = taken;
+    }
+
+    /// Puts this host in the place of another one, as controller and as successor.
+    fn take_over(&self, lost: HostId, record: &mut RegionRecord) {
+        record.hosts.remove(&lost);
+        for control in record.control.values_mut() {
+            if control.host == lost {
+                control.host = self.settings.id;
+                control.token = Token(control.token.0 + 1);
+                control.released = false;
             }
-            record.hosts.remove(&ward.host);
-            for control in record.control.values_mut() {
-                if control.host == ward.host {
-                    control.host = self.settings.id;
-                    control.token = Token(control.token.0 + 1);
-                    control.released = false;
-                }
+        }
+        for (id, host) in &mut record.hosts {
+            if host.successor == Some(lost) && *id != self.settings.id {
+                host.successor = Some(self.settings.id);
+                host.term = self.now.as_micros().max(host.term + 1);
             }
-            write.taken.push((ward.host, ward.term));
         }
     }
 
-    fn plan_own_host(&mut self, record: &mut DomainRecord, write: &mut DomainWrite) {
+    fn plan_own_host(&mut self, record: &mut RegionRecord, write: &mut RegionWrite) {
         let id = self.settings.id;
         if self.leaving {
             let controls = record.control.values().any(|control| control.host == id);
@@ -298,6 +305,7 @@
         if !record.hosts.contains_key(&id) {
             let host = HostRecord {
                 name: self.settings.name.clone(),
+                domain: self.settings.domain.clone(),
                 address: self.settings.address,
                 successor: None,
                 term: 0,
@@ -321,16 +329,19 @@
     ///
     /// A host of the same failure domain is chosen before one of the same region, so that a
     /// failure domain that is cut off keeps itself valid.
-    fn choose_successor(&self, record: &DomainRecord) -> Option<HostId> {
+    fn choose_successor(&self, record: &RegionRecord) -> Option<HostId> {
         let id = self.settings.id;
         let current = record.hosts.get(&id).and_then(|host| host.successor);
-        let near: Vec<HostId> = record.hosts.keys().copied().filter(|host| *host != id).collect();
-        let far: Vec<HostId> = self
-            .region_peers()
-            .into_iter()
-            .filter(|host| !record.hosts.contains_key(host))
+        let others = || record.hosts.iter().filter(|(host, _)| **host != id);
+        let near: Vec<HostId> = others()
+            .filter(|(_, host)| host.domain == self.settings.domain)
+            .map(|(host, _)| *host)
             .collect();
-        let pool = if near.is_empty() { far } else { near };
+        let pool = if near.is_empty() {
+            others().map(|(host, _)| *host).collect()
+        } else {
+            near
+        };
         if let Some(current) = current
             && pool.contains(&current)
             && !self.is_successor_silent()
@@ -352,7 +363,7 @@
         self.now.since(since) > self.timing().validity * REPLACE
     }
 
-    fn plan_claims(&self, record: &mut DomainRecord, write: &mut DomainWrite) {
+    fn plan_claims(&self, record: &mut RegionRecord, write: &mut RegionWrite) {
         if self.leaving || !record.hosts.contains_key(&self.settings.id) {
             return;
         }
@@ -362,11 +373,11 @@
             listed || control.host != self.settings.id
         });
         for (server, info) in self.view.servers.iter() {
-            let here = info.spec.domain == self.settings.domain;
+            let here = info.spec.domain.region() == self.region();
             if !here || record.control.contains_key(&info.spec.name) {
                 continue;
             }
-            if preferred_host(record, &info.spec.name) != Some(self.settings.id) {
+            if preferred_host(record, &info.spec) != Some(self.settings.id) {
                 continue;
             }
             let control = ControlRecord {
@@ -380,7 +391,7 @@
     }
 
     /// Raises tokens that a register holds against this host.
-    fn plan_tokens(&self, record: &mut DomainRecord) {
+    fn plan_tokens(&self, record: &mut RegionRecord) {
         for (server, control) in &self.controls {
             let name = self.view.servers.name(*server);
             let Some(kept) = record.control.get_mut(name) else {
@@ -393,23 +404,25 @@
         }
     }
 
-    pub(super) fn note_claims(&mut self, write: &DomainWrite) {
+    pub(super) fn note_claims(&mut self, write: &RegionWrite) {
         self.claimed.extend(write.claimed.iter().copied());
-        for (server, info) in self.view.servers.iter() {
+        for (server, _) in self.view.servers.iter() {
             let Some(host) = self.view.controller(server) else {
                 continue;
             };
             let taken = write.taken.iter().find(|(taken, _)| *taken == host);
-            if info.spec.domain == write.name && let Some((host, term)) = taken {
+            if let Some((host, term)) = taken {
                 self.heirs.insert(server, (*host, *term));
             }
         }
     }
 
     /// When this host may act for servers that it took over just now.
-    pub(super) fn takeover_wait(&self) -> Time {
+    pub(super) fn takeover_wait(&self, host: Option<HostId>) -> Time {
         let timing = self.timing();
-        self.now + timing.validity + timing.drift()
+        let ward = host.and_then(|host| self.wards.get(&host));
+        let promised = ward.map_or(self.now, Ward::promised);
+        self.now.max(promised) + timing.validity + timing.drift()
     }
 
     /// Whether operators took this host out of service.
@@ -420,22 +433,26 @@
     /// Servers in this host's failure domain for which it is the preferred host.
     pub(super) fn preferred_for(&self, server: ServerKey) -> Option<HostId> {
         let info = self.view.servers.get(server)?;
-        let record = &self.view.domain(&info.spec.domain)?.record;
-        let mut usable = record.clone();
+        let mut usable = self.own_record()?.clone();
         usable.hosts.retain(|id, host| {
             let leaving = *id == self.settings.id && self.leaving;
             !leaving && !self.view.is_out(&Subject::Host(host.name.clone()))
         });
-        preferred_host(&usable, &info.spec.name)
+        preferred_host(&usable, &info.spec)
     }
 }
 
 /// Picks the host for a server by highest random weight, so that few servers change their host
 /// when one joins or leaves.
-fn preferred_host(record: &DomainRecord, server: &str) -> Option<HostId> {
-    record
+///
+/// Hosts of other failure domains are picked only where the server's own has none.
+fn preferred_host(record: &RegionRecord, server: &Server) -> Option<HostId> {
+    let weight = |host: &HostId| xxh3_64_with_seed(server.name.as_bytes(), host.0);
+    let near = record
         .hosts
-        .keys()
-        .copied()
-        .max_by_key(|host| xxh3_64_with_seed(server.as_bytes(), host.0))
+        .iter()
+        .filter(|(_, host)| host.domain == server.domain)
+        .map(|(id, _)| *id)
+        .max_by_key(weight);
+    near.or_else(|| record.hosts.keys().copied().max_by_key(weight))
 }
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -100,23 +100,17 @@
         }
     }
 
-    /// Takes note that a read of a failure domain's record was answered.
-    pub(super) fn pass_guards(&mut self, key: &ObjectKey, sent: Time) {
+    /// Takes note that a read of the region's record was answered.
+    pub(super) fn pass_guards(&mut self, sent: Time) {
         let servers: Vec<ServerKey> = self.controls.keys().copied().collect();
         let mut written = BTreeSet::new();
         for server in servers {
-            let guarded = self
-                .server_domain(server)
-                .is_some_and(|domain| ObjectKey::domain(&domain) == *key);
             let Some(info) = self.view.servers.get(server) else {
                 continue;
             };
             let place = (info.entry, info.region);
             let moving = self.controls.get_mut(&server).and_then(|c| c.moving.as_mut());
-            let Some(moving) = moving.filter(|_| guarded) else {
-                continue;
-            };
-            if let Some(guard) = &mut moving.guard
+            if let Some(guard) = moving.and_then(|moving| moving.guard.as_mut())
                 && guard.asked <= sent
             {
                 guard.passed = true;
@@ -128,13 +122,11 @@
         }
     }
 
-    /// Takes note that a read of a failure domain's record was not answered.
-    pub(super) fn fail_guards(&mut self, key: &ObjectKey) {
+    /// Takes note that a read of the region's record was not answered.
+    pub(super) fn fail_guards(&mut self) {
         let mut failed = Vec::new();
         for (server, control) in &mut self.controls {
-            let domain = self.view.servers.get(*server).map(|info| &info.spec.domain);
-            let guarded = domain.is_some_and(|domain| ObjectKey::domain(domain) == *key);
-            if let Some(moving) = control.moving.as_mut().filter(|_| guarded)
+            if let Some(moving) = control.moving.as_mut()
                 && moving.step == MoveStep::Writing
             {
                 moving.guard = None;
@@ -151,8 +143,9 @@
                 self.finish_move(*server, Code::ShardsMoved);
             }
         }
-        for server in &write.touched {
-            if !self.controls.contains_key(server) {
+        for (server, token) in &write.touched {
+            let current = self.controls.get(server).map(|control| control.token);
+            if current != Some(*token) {
                 continue;
             }
             self.touched.insert(*server);
@@ -497,9 +490,6 @@
     /// The placement's revision is taken before the question, so a successor that takes over
     /// later touches a revision that the write no longer fits.
     fn write_move(&mut self, server: ServerKey) {
-        let Some(domain) = self.server_domain(server) else {
-            return;
-        };
         let Some(info) = self.view.servers.get(server) else {
             return;
         };
@@ -521,7 +511,7 @@
         if passed {
             self.write_placement(entry, region);
         } else {
-            self.read(ObjectKey::domain(&domain));
+            self.read(self.region_key());
         }
     }
 
@@ -721,14 +711,14 @@
     }
 
     fn merge_touches(&self, record: &mut PlacementRecord, write: &mut PlacementWrite) {
-        for server in self.controls.keys() {
+        for (server, control) in &self.controls {
             let here = self
                 .view
                 .servers
                 .get(*server)
                 .is_some_and(|info| info.entry == write.entry && info.region == write.region);
             if here && !self.touched.contains(server) {
-                write.touched.push(*server);
+                write.touched.push((*server, control.token));
             }
         }
         if !write.touched.is_empty() {
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -9,10 +9,9 @@
 
 use super::{GOSSIP, Host};
 use crate::event::{Effect, StoreCall, StoreResult};
-use crate::ids::{CallId, EntryKey, HostId, RegionKey, Revision, ServerKey};
+use crate::ids::{CallId, EntryKey, HostId, RegionKey, Revision, ServerKey, Token};
 use crate::log::Code;
 use crate::message::Message;
-use crate::names::DomainName;
 use crate::object::{Object, ObjectKey};
 use crate::time::Time;
 use crate::timer::Wake;
@@ -28,7 +27,7 @@
     watch: Option<CallId>,
     watch_after: Time,
     pub(super) silent: bool,
-    /// When a read of the own failure domain's record is under way, its sending time.
+    /// Sending time of each read under way.
     pub(super) reading: BTreeMap<ObjectKey, Time>,
     /// Sending time of the newest answered read of each record.
     pub(super) read_at: BTreeMap<ObjectKey, Time>,
@@ -55,17 +54,15 @@
 /// What a write is for.
 #[derive(Clone, Debug)]
 pub(super) enum Purpose {
-    /// A failure domain's record.
-    Domain(DomainWrite),
+    /// The region's record.
+    Region(RegionWrite),
     /// A placement.
     Placement(PlacementWrite),
 }
 
-/// What a write of a failure domain's record brings about.
+/// What a write of the region's record brings about.
 #[derive(Clone, Debug)]
-pub(super) struct DomainWrite {
-    /// The failure domain.
-    pub(super) name: DomainName,
+pub(super) struct RegionWrite {
     /// Hosts that are taken over, with the terms of their records.
     pub(super) taken: Vec<(HostId, u64)>,
     /// Servers that had no controller.
@@ -83,8 +80,8 @@
     pub(super) region: RegionKey,
     /// Moves that the write completes, by server and number.
     pub(super) moves: Vec<(ServerKey, u64)>,
-    /// Servers whose placement is touched after a change of control.
-    pub(super) touched: Vec<ServerKey>,
+    /// Servers whose placement is touched after a change of control, with the new tokens.
+    pub(super) touched: Vec<(ServerKey, Token)>,
 }
 
 /// A line of the audit trail for changes that hosts make by themselves.
@@ -106,7 +103,7 @@
     /// Whether a change of this host's successor has no known effect yet.
     pub(super) fn is_changing_successor(&self) -> bool {
         self.storage.writes.values().any(|write| {
-            matches!(&write.purpose, Purpose::Domain(domain) if domain.succession)
+            matches!(&write.purpose, Purpose::Region(region) if region.succession)
         })
     }
 
@@ -229,8 +226,8 @@
         let after = self.view.revision();
         let peers: Vec<HostId> = self
             .view
-            .domains()
-            .flat_map(|(_, record)| record.hosts.keys().copied())
+            .records()
+            .flat_map(|record| record.hosts.keys().copied())
             .filter(|host| *host != self.settings.id)
             .collect();
         if !peers.is_empty() {
@@ -297,8 +294,11 @@
             return true;
         };
         let on_record = record.hosts.contains_key(&self.settings.id);
-        let first = record.hosts.keys().next();
-        !on_record || first == Some(&self.settings.id)
+        let first = record
+            .hosts
+            .iter()
+            .find(|(_, host)| host.domain == self.settings.domain);
+        !on_record || first.is_some_and(|(id, _)| *id == self.settings.id)
     }
 
     fn take_watch(&mut self, result: StoreResult) {
@@ -318,15 +318,19 @@
     fn take_read(&mut self, key: ObjectKey, sent: Time, result: StoreResult) {
         self.storage.reading.remove(&key);
         let StoreResult::Read(object) = result else {
-            self.fail_guards(&key);
+            if key == self.region_key() {
+                self.fail_guards();
+            }
             return;
         };
         self.storage.read_at.insert(key.clone(), sent);
         self.learn(&[object], None);
-        if key == ObjectKey::domain(&self.settings.domain) && self.on_record {
-            self.validity.confirm_by_store(sent);
+        if key == self.region_key() {
+            if self.on_record {
+                self.validity.confirm_by_store(sent);
+            }
+            self.pass_guards(sent);
         }
-        self.pass_guards(&key, sent);
         self.sync_membership();
     }
 
@@ -360,10 +364,10 @@
 
     fn complete_write(&mut self, purpose: Purpose, sent: Time, object: &Object) {
         match purpose {
-            Purpose::Domain(domain) => {
-                self.note_claims(&domain);
+            Purpose::Region(region) => {
+                self.note_claims(&region);
                 self.learn(std::slice::from_ref(object), None);
-                self.complete_domain_write(&domain, sent);
+                self.complete_region_write(&region, sent);
             }
             Purpose::Placement(placement) => {
                 self.learn(std::slice::from_ref(object), None);
@@ -375,7 +379,7 @@
 
     fn give_up_write(&mut self, purpose: Purpose) {
         match purpose {
-            Purpose::Domain(domain) => self.give_up_domain_write(&domain),
+            Purpose::Region(region) => self.give_up_region_write(&region),
             Purpose::Placement(placement) => self.give_up_placement_write(&placement),
         }
     }
--- a/crates/core/src/object.rs
+++ b/crates/core/src/object.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::Revision;
-use crate::names::DomainName;
+use crate::ids::{HostId, Revision};
 use crate::record::Subject;
 
 /// The prefix of every object that hosts replicate among themselves.
@@ -24,9 +23,9 @@
         Self(format!("{CONFIG_PREFIX}entry/{name}"))
     }
 
-    /// The key of a failure domain's record.
-    pub fn domain(name: &DomainName) -> Self {
-        Self(format!("{CONFIG_PREFIX}domain/{name}"))
+    /// The key of a region's record.
+    pub fn region(name: &str) -> Self {
+        Self(format!("{CONFIG_PREFIX}region/{name}"))
     }
 
     /// The key of an entry's placement in a region.
@@ -37,9 +36,10 @@
     /// The key of an operator's order.
     pub fn order(subject: &Subject) -> Self {
         let (kind, name) = match subject {
-            Subject::Domain(name) => ("domain", name.as_str()),
-            Subject::Host(name) => ("host", name.as_str()),
-            Subject::Server(name) => ("server", name.as_str()),
+            Subject::Domain(name) => ("domain", name.to_string()),
+            Subject::Host(name) => ("host", name.clone()),
+            Subject::Lost(id) => ("lost", id.to_string()),
+            Subject::Server(name) => ("server", name.clone()),
         };
         Self(format!("{CONFIG_PREFIX}order/{kind}/{name}"))
     }
@@ -55,7 +55,7 @@
         let (kind, name) = rest.split_once('/')?;
         match kind {
             "entry" => Some(ObjectKind::Entry(name)),
-            "domain" => name.parse().ok().map(ObjectKind::Domain),
+            "region" => Some(ObjectKind::Region(name)),
             "placement" => {
                 let (entry, region) = name.split_once('/')?;
                 Some(ObjectKind::Placement { entry, region })
@@ -65,6 +65,7 @@
                 let subject = match scope {
                     "domain" => Subject::Domain(name.parse().ok()?),
                     "host" => Subject::Host(name.to_owned()),
+                    "lost" => Subject::Lost(HostId(name.parse().ok()?)),
                     "server" => Subject::Server(name.to_owned()),
                     _ => return None,
                 };
@@ -86,8 +87,8 @@
 pub enum ObjectKind<'a> {
     /// A catalogue entry.
     Entry(&'a str),
-    /// A failure domain's record.
-    Domain(DomainName),
+    /// A region's record.
+    Region(&'a str),
     /// An entry's placement in a region.
     Placement {
         /// The entry's name.
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -8,9 +8,12 @@
 use crate::ids::{Epoch, HostId, Token};
 use crate::names::DomainName;
 
-/// Who serves a failure domain: its hosts, and the host that controls each backend server.
+/// Who serves a region: its hosts, and the host that controls each backend server.
+///
+/// Hosts and control share one record, so that taking a host off and taking its servers over
+/// is one conditional update; see `docs/design.md`, "One record for a region".
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct DomainRecord {
+pub struct RegionRecord {
     /// The hosts on record.
     pub hosts: BTreeMap<HostId, HostRecord>,
     /// The controlling host of each backend server, by the server's name.
@@ -22,6 +25,8 @@
 pub struct HostRecord {
     /// The name under which operators know the host.
     pub name: String,
+    /// The failure domain that it stands in.
+    pub domain: DomainName,
     /// Where other hosts reach it.
     pub address: SocketAddr,
     /// The only host that may take over from it.
@@ -79,6 +84,8 @@
     Domain(DomainName),
     /// An entry host, by name.
     Host(String),
+    /// One run of an entry host that operators know to be gone for good.
+    Lost(HostId),
     /// A backend server, by name.
     Server(String),
 }
--- a/crates/core/src/validity.rs
+++ b/crates/core/src/validity.rs
@@ -68,14 +68,14 @@
 impl Ward {
     /// Starts to watch a host.
     ///
-    /// A promise of an earlier run of this process may still count, so the watch begins as if
-    /// one had been given now.
-    pub fn new(host: HostId, term: u64, now: Time) -> Self {
+    /// Its last successor may promise for as long as it is valid itself, so the watch begins as
+    /// if a promise had been given at the end of that span.
+    pub fn new(host: HostId, term: u64, now: Time, validity: Duration) -> Self {
         Self {
             host,
             term,
             heard: now,
-            promised: now,
+            promised: now + validity,
             closed: false,
         }
     }
@@ -86,7 +86,7 @@
             return false;
         }
         ensure(Invariant::PromiseKept, !self.closed);
-        self.promised = now;
+        self.promised = self.promised.max(now);
         true
     }
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -9,9 +9,8 @@
 use crate::catalogue::{Entry, Server};
 use crate::ids::{EntryKey, Epoch, HostId, RegionKey, Revision, ServerKey, ShardKey};
 use crate::invariant::{Invariant, ensure};
-use crate::names::DomainName;
 use crate::object::{Object, ObjectKey, ObjectKind};
-use crate::record::{DomainRecord, HostRecord, PlacementRecord, Subject};
+use crate::record::{ControlRecord, HostRecord, PlacementRecord, RegionRecord, Subject};
 
 /// A record with the revision it was read at.
 #[derive(Clone, Debug)]
@@ -67,7 +66,7 @@
     pub servers: Arena<ServerKey, ServerInfo>,
     /// Region names.
     pub regions: Arena<RegionKey, ()>,
-    domains: BTreeMap<DomainName, Versioned<DomainRecord>>,
+    records: BTreeMap<RegionKey, Versioned<RegionRecord>>,
     placements: HashMap<(EntryKey, RegionKey), Placement>,
     provisional: BTreeMap<ShardKey, Owner>,
     orders: BTreeSet<Subject>,
@@ -117,33 +116,36 @@
         std::mem::take(&mut self.unreadable)
     }
 
-    /// A failure domain's record.
-    pub fn domain(&self, name: &DomainName) -> Option<&Versioned<DomainRecord>> {
-        self.domains.get(name)
+    /// A region's record.
+    pub fn record(&self, region: RegionKey) -> Option<&Versioned<RegionRecord>> {
+        self.records.get(&region)
     }
 
-    /// Every failure domain's record.
-    pub fn domains(&self) -> impl Iterator<Item = (&DomainName, &DomainRecord)> {
-        self.domains.iter().map(|(name, kept)| (name, &kept.record))
+    /// Every region's record.
+    pub fn records(&self) -> impl Iterator<Item = &RegionRecord> {
+        self.records.values().map(|kept| &kept.record)
     }
 
-    /// A host on record, in whichever failure domain it stands.
-    pub fn host(&self, id: HostId) -> Option<(&DomainName, &HostRecord)> {
-        self.domains()
-            .find_map(|(domain, record)| Some((domain, record.hosts.get(&id)?)))
+    /// A host on record, in whichever region it stands.
+    pub fn host(&self, id: HostId) -> Option<&HostRecord> {
+        self.records().find_map(|record| record.hosts.get(&id))
     }
 
     /// The address of a host on record.
     pub fn host_address(&self, id: HostId) -> Option<SocketAddr> {
-        self.host(id).map(|(_, record)| record.address)
+        self.host(id).map(|record| record.address)
     }
 
     /// The host that controls a backend server.
     pub fn controller(&self, server: ServerKey) -> Option<HostId> {
+        self.control_record(server).map(|control| control.host)
+    }
+
+    /// Who controls a backend server, and under which token.
+    pub fn control_record(&self, server: ServerKey) -> Option<&ControlRecord> {
         let info = self.servers.get(server)?;
-        let domain = self.domains.get(&info.spec.domain)?;
-        let control = domain.record.control.get(&info.spec.name)?;
-        Some(control.host)
+        let kept = self.records.get(&info.region)?;
+        kept.record.control.get(&info.spec.name)
     }
 
     /// Whether operators took the subject out.
@@ -238,7 +240,7 @@
     fn index(&mut self, object: &Object) {
         let readable = match object.key.kind() {
             Some(ObjectKind::Entry(name)) => self.index_entry(name, object),
-            Some(ObjectKind::Domain(name)) => self.index_domain(name, object),
+            Some(ObjectKind::Region(name)) => self.index_region(name, object),
             Some(ObjectKind::Placement { entry, region }) => {
                 self.index_placement(entry, region, object)
             }
@@ -279,16 +281,17 @@
         true
     }
 
-    fn index_domain(&mut self, name: DomainName, object: &Object) -> bool {
+    fn index_region(&mut self, name: &str, object: &Object) -> bool {
+        let region = self.regions.intern(name);
         if object.value.is_none() {
-            self.domains.remove(&name);
+            self.records.remove(&region);
             return true;
         }
-        let Some(record) = parse::<DomainRecord>(object) else {
+        let Some(record) = parse::<RegionRecord>(object) else {
             return false;
         };
         let revision = object.revision;
-        self.domains.insert(name, Versioned { revision, record });
+        self.records.insert(region, Versioned { revision, record });
         true
     }
 
--- a/crates/core/tests/core/fleet.rs
+++ b/crates/core/tests/core/fleet.rs
@@ -267,13 +267,22 @@
 
     /// Ends every cut, pause and order, so that the fleet can settle.
     pub fn heal(&mut self) {
+        self.jitter = false;
         self.cuts.clear();
         self.store_cuts.clear();
         self.server_cuts.clear();
         self.store.heal();
+        for id in self.store.hosts_on_record() {
+            let alive = self.slots.iter().any(|slot| slot.host.as_ref().is_some_and(|host| host.id() == id));
+            if !alive {
+                self.write_order(&ObjectKey::order(&Subject::Lost(id)), true);
+            }
+        }
         let orders: Vec<ObjectKey> = self.store.orders();
         for key in orders {
-            self.write_order(&key, false);
+            if !key.0.contains("/lost/") {
+                self.write_order(&key, false);
+            }
         }
     }
 
@@ -282,8 +291,33 @@
         self.now
     }
 
-    pub fn host(&self, slot: usize) -> Option<&Host> {
-        self.slots[slot].host.as_ref()
+    /// One line for each host and each server under control.
+    pub fn describe(&self) -> String {
+        let mut lines = Vec::new();
+        for slot in &self.slots {
+            let Some(host) = &slot.host else {
+                lines.push(format!("{} is down", slot.name));
+                continue;
+            };
+            lines.push(format!("{} {} valid {}", slot.name, host.id(), host.is_valid()));
+            let whole = format!("{host:?}");
+            if let Some(at) = whole.find("outgoing: {") {
+                let end = (at + 300).min(whole.len());
+                lines.push(whole[at..end].to_owned());
+            }
+            for control in host.controls() {
+                let name = host.view().servers.name(control.server);
+                lines.push(format!(
+                    "  {name} {:?} granted {} unsure {} running {} moving {:?}",
+                    control.phase,
+                    control.granted.len(),
+                    control.unsure,
+                    control.running.len(),
+                    control.moving
+                ));
+            }
+        }
+        lines.join("\n")
     }
 
     fn offset(&mut self) -> i64 {
--- a/crates/core/tests/core/fleet/store.rs
+++ b/crates/core/tests/core/fleet/store.rs
@@ -5,6 +5,7 @@
 use amaranthshunt_core::HostId;
 use amaranthshunt_core::event::{StoreCall, StoreResult};
 use amaranthshunt_core::ids::{CallId, Revision};
+use amaranthshunt_core::record::RegionRecord;
 use amaranthshunt_core::object::{CONFIG_PREFIX, Object, ObjectKey};
 use bytes::Bytes;
 use rand::Rng;
@@ -43,6 +44,15 @@
         self.objects.keys().filter(|key| key.0.starts_with(&prefix)).cloned().collect()
     }
 
+    pub fn hosts_on_record(&self) -> Vec<HostId> {
+        let prefix = format!("{CONFIG_PREFIX}region/");
+        let records = self.objects.values().filter(|object| object.key.0.starts_with(&prefix));
+        records
+            .filter_map(|object| serde_json::from_slice::<RegionRecord>(object.value.as_ref()?).ok())
+            .flat_map(|record| record.hosts.into_keys())
+            .collect()
+    }
+
     pub fn heal(&mut self) {
         self.down_until = 0;
         self.lossy_until = 0;
