Core: a move that the store knows already is not written again

Change: a move ends when the stored placement has reached its epochs, and never writes an epoch that is not higher.

--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -155,6 +155,38 @@
         }
     }
 
+    /// Ends moves that the store turns out to know, although no write was confirmed.
+    pub(super) fn settle_moves(&mut self) {
+        let done: Vec<ServerKey> = self
+            .controls
+            .iter()
+            .filter(|(server, control)| {
+                let moving = control.moving.as_ref();
+                moving.is_some_and(|moving| self.is_stored(**server, moving))
+            })
+            .map(|(server, _)| *server)
+            .collect();
+        for server in done {
+            self.finish_move(server, Code::ShardsMoved);
+        }
+    }
+
+    /// Whether the stored placement has come as far as a move that is being written.
+    fn is_stored(&self, server: ServerKey, moving: &Move) -> bool {
+        let Some(info) = self.view.servers.get(server) else {
+            return false;
+        };
+        let Some(placement) = self.view.placement(info.entry, info.region) else {
+            return false;
+        };
+        let known = |index: &u32, epoch: Epoch| {
+            let owner = placement.owners.get(*index as usize);
+            owner.is_some_and(|owner| owner.epoch >= epoch)
+        };
+        moving.step == MoveStep::Writing
+            && moving.shards.iter().all(|(index, (_, epoch))| known(index, *epoch))
+    }
+
     pub(super) fn give_up_placement_write(&mut self, write: &PlacementWrite) {
         for (server, _) in &write.moves {
             if let Some(moving) = self.moving_mut(*server) {
@@ -703,8 +735,10 @@
                 let Some(kept) = record.shards.get_mut(*index as usize) else {
                     continue;
                 };
-                kept.server = self.server_name(*target);
-                kept.epoch = *epoch;
+                if kept.epoch < *epoch {
+                    kept.server = self.server_name(*target);
+                    kept.epoch = *epoch;
+                }
             }
             write.moves.push((*server, moving.id));
         }
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -217,6 +217,7 @@
         self.note_orders();
         self.sync_membership();
         self.sync_controls();
+        self.settle_moves();
         self.route_parked();
         self.reroute_moved();
     }
