Core: a server of unknown age counts as cold, a known warm one as warm

Change: warm-up begins with the first answer of a boot; hosts tell their successor and the receiver of a hand-over which boots have warmed up, so that a change of host does not slow a warm server.

--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -7,7 +7,7 @@
 use crate::control::{Job, Origin};
 use crate::ids::{Epoch, HostId, IdempotencyKey, ServerKey, ShardKey, Token};
 use crate::ledger::{Ledger, Record, Tenure};
-use crate::message::{LedgerPart, LedgerRecord, Message, ShardSince};
+use crate::message::{LedgerPart, LedgerRecord, Message, ShardSince, WarmServer};
 use crate::request::Doubt;
 use crate::time::Time;
 
@@ -82,8 +82,8 @@
             return;
         };
         let ledger = LedgerPart {
-            since: Vec::new(),
             records: vec![record],
+            ..LedgerPart::default()
         };
         self.send_copy(None, ledger);
     }
@@ -264,9 +264,40 @@
         }
     }
 
+    /// Takes note, and tells the successor, that a server has warmed up.
+    pub(super) fn note_warm(&mut self, server: ServerKey) {
+        let control = self.controls.get(&server);
+        let boot = control.filter(|control| control.limiter.is_full()).and_then(|c| c.boot);
+        let Some(boot) = boot else {
+            return;
+        };
+        if self.warm.insert(server, boot) != Some(boot) {
+            let ledger = LedgerPart {
+                warm: self.warm_servers(&[server]),
+                ..LedgerPart::default()
+            };
+            self.send_copy(None, ledger);
+        }
+    }
+
+    /// Those of some servers that are known to be warm.
+    pub(super) fn warm_servers(&self, servers: &[ServerKey]) -> Vec<WarmServer> {
+        let known = servers.iter().filter_map(|server| Some((server, self.warm.get(server)?)));
+        known
+            .map(|(server, boot)| WarmServer {
+                server: self.server_name(*server),
+                boot: *boot,
+            })
+            .collect()
+    }
+
     fn whole_ledger(&self) -> LedgerPart {
         let shards: Vec<ShardKey> = self.ledger.shards().map(|(shard, _)| shard).collect();
-        self.ledger_part(&shards)
+        let servers: Vec<ServerKey> = self.controls.keys().copied().collect();
+        LedgerPart {
+            warm: self.warm_servers(&servers),
+            ..self.ledger_part(&shards)
+        }
     }
 
     fn send_copy(&mut self, full: Option<u64>, ledger: LedgerPart) {
@@ -293,6 +324,10 @@
     }
 
     fn merge_part(&mut self, ledger: &mut Ledger, part: LedgerPart) {
+        for line in part.warm {
+            let server = self.view.servers.intern(&line.server);
+            self.warm.insert(server, line.boot);
+        }
         for line in part.since {
             let shard = self.intern_shard(&line.entry, &line.region, line.index);
             ledger.close(shard);
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -227,7 +227,10 @@
             server: self.server_name(server),
             control: Some(Token(token.0 + 1)),
             shards,
-            ledger: self.ledger_part(&owned),
+            ledger: LedgerPart {
+                warm: self.warm_servers(&[server]),
+                ..self.ledger_part(&owned)
+            },
         };
         self.send(to, message);
     }
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -325,6 +325,12 @@
         };
         let first = open.expires.is_some() && control.confirmed_at == Time::ZERO;
         let restarted = control.boot.is_some_and(|boot| boot != state.boot);
+        if control.boot.is_none() {
+            control.limiter.restarted(now);
+            if self.warm.get(&server) == Some(&state.boot) {
+                control.limiter.warmed();
+            }
+        }
         control.boot = Some(state.boot);
         control.answered = now;
         control.unsure = false;
--- a/crates/core/src/host/service.rs
+++ b/crates/core/src/host/service.rs
@@ -319,6 +319,7 @@
         if fell {
             self.log_limit(server);
         }
+        self.note_warm(server);
         self.quarantine.cleared(running.job.request.fingerprint());
         self.settle(&running.job, RecordState::Answered(answer.clone()));
         self.conclude_all(running.job, &Outcome::Answer(answer));
--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -84,6 +84,17 @@
         self.cold_until = now + self.warm_up;
     }
 
+    /// Takes in that the server is known to be warm.
+    pub fn warmed(&mut self) {
+        self.current = self.full;
+        self.cold_until = Time::ZERO;
+    }
+
+    /// Whether the limit has reached what the server bears warm.
+    pub fn is_full(&self) -> bool {
+        self.current >= self.full
+    }
+
     /// Takes in that the catalogue changed what the server bears.
     pub fn resize(&mut self, limits: &Limits) {
         self.cold = f64::from(limits.cold_slots);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -123,6 +123,17 @@
     pub since: Vec<ShardSince>,
     /// The records.
     pub records: Vec<LedgerRecord>,
+    /// Backend servers that have warmed up.
+    pub warm: Vec<WarmServer>,
+}
+
+/// A backend server that has warmed up.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WarmServer {
+    /// The server's name.
+    pub server: String,
+    /// The boot number under which it is warm.
+    pub boot: u64,
 }
 
 /// A shard's completeness on the wire.
