Core: records go when control of their server goes

Cause: control lost and gained again within one change of the view left the ledger of the earlier tenure open. Change: records are kept under a server and forgotten with its control.

--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -198,6 +198,7 @@
                 copy.ledger.abandon(shard, Doubt::HostLost);
                 self.ledger.adopt(shard, &mut copy.ledger);
                 self.ledger.enter(shard, Tenure { epoch, token });
+                self.ledger.hold(shard, server);
                 inherited.push(shard);
             }
         }
@@ -241,6 +242,7 @@
                 epoch: *epoch,
                 token,
             };
+            self.ledger.hold(shard, server);
             if self.ledger.enter(shard, tenure) {
                 opened.push(shard);
             }
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -222,6 +222,7 @@
         let name = self.server_name(server);
         self.log(Code::ControlLost, name, control.token.to_string());
         self.release_jobs(control);
+        self.ledger.close_held(server);
     }
 
     fn limits_of(&self, server: ServerKey) -> Option<Limits> {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Epoch, IdempotencyKey, ShardKey, Token};
+use crate::ids::{Epoch, IdempotencyKey, ServerKey, ShardKey, Token};
 use crate::request::{Answer, Doubt, Refusal};
 use crate::time::Time;
 
@@ -71,6 +71,7 @@
 struct Part {
     since: Time,
     tenure: Tenure,
+    holder: Option<ServerKey>,
     records: HashMap<IdempotencyKey, Record>,
 }
 
@@ -82,6 +83,7 @@
         self.shards.entry(shard).or_insert_with(|| Part {
             since,
             tenure: Tenure::default(),
+            holder: None,
             records: HashMap::new(),
         });
     }
@@ -101,6 +103,18 @@
         self.shards.get(&shard).map(|part| part.tenure)
     }
 
+    /// Names the server under whose control a shard's records are kept.
+    pub fn hold(&mut self, shard: ShardKey, server: ServerKey) {
+        if let Some(part) = self.shards.get_mut(&shard) {
+            part.holder = Some(server);
+        }
+    }
+
+    /// Forgets all shards that are kept under a server's control.
+    pub fn close_held(&mut self, server: ServerKey) {
+        self.shards.retain(|_, part| part.holder != Some(server));
+    }
+
     /// Whether a shard is open.
     pub fn is_open(&self, shard: ShardKey) -> bool {
         self.shards.contains_key(&shard)
