--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -17,6 +17,8 @@
 /// Records of a shard that another host handed over.
 #[derive(Debug)]
 pub(super) struct Incoming {
+    /// The server that is to own the shard.
+    pub(super) server: ServerKey,
     pub(super) epoch: Epoch,
     /// The token under which control of the shard's server comes along.
     pub(super) control: Option<Token>,
@@ -269,15 +271,8 @@
 
     /// Forgets handed over records that do not belong to the control that this host gained.
     pub(super) fn drop_foreign_incoming(&mut self, server: ServerKey, gained: Option<Token>) {
-        let Some(info) = self.view.servers.get(server) else {
-            return;
-        };
-        let (entry, region) = (info.entry, info.region);
-        let owned = self.view.owned_by(server);
-        self.incoming.retain(|shard, incoming| {
-            let here = shard.entry == entry
-                && shard.region == region
-                && owned.contains_key(&shard.index);
+        self.incoming.retain(|_, incoming| {
+            let here = incoming.server == server;
             !here || (gained.is_some() && incoming.control == gained)
         });
     }
@@ -301,6 +296,7 @@
             self.incoming.remove(&shard);
             if one.is_open(shard) {
                 let incoming = Incoming {
+                    server,
                     epoch: *epoch,
                     control,
                     ledger: one,
