--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -129,7 +129,10 @@
 
     fn check_names(&self, found: &mut Vec<Finding>) {
         if !is_label(&self.name) {
-            found.push(Finding::new("name", "must be 1 to 64 letters, digits, `-` or `_`"));
+            found.push(Finding::new(
+                "name",
+                "must be 1 to 64 letters, digits, `-` or `_`",
+            ));
         }
         if self.owner.is_empty() {
             found.push(Finding::new("owner", "must not be empty"));
@@ -138,7 +141,10 @@
             found.push(Finding::new("regions", "must name at least one region"));
         }
         for region in self.regions.iter().filter(|name| !is_label(name)) {
-            found.push(Finding::new("regions", format!("`{region}` is no region name")));
+            found.push(Finding::new(
+                "regions",
+                format!("`{region}` is no region name"),
+            ));
         }
         for (tenant, regions) in &self.tenants {
             let place = format!("tenants.{tenant}");
@@ -149,7 +155,10 @@
                 found.push(Finding::new(&place, "must name at least one region"));
             }
             for region in regions.iter().filter(|name| !self.regions.contains(name)) {
-                found.push(Finding::new(&place, format!("`{region}` is not in `regions`")));
+                found.push(Finding::new(
+                    &place,
+                    format!("`{region}` is not in `regions`"),
+                ));
             }
         }
     }
@@ -165,9 +174,17 @@
         require(shards_fit, "shards", "must be 1 to 16384");
         require(limits.slots > 0, "limits.slots", "must be at least 1");
         let cold_fits = (1..=limits.slots).contains(&limits.cold_slots);
-        require(cold_fits, "limits.cold_slots", "must be 1 to `limits.slots`");
+        require(
+            cold_fits,
+            "limits.cold_slots",
+            "must be 1 to `limits.slots`",
+        );
         let connections_fit = limits.connections >= limits.slots;
-        require(connections_fit, "limits.connections", "must be at least `limits.slots`");
+        require(
+            connections_fit,
+            "limits.connections",
+            "must be at least `limits.slots`",
+        );
         let body_fits = (1..=BODY_LIMIT).contains(&limits.body);
         require(body_fits, "limits.body", "must be 1 to 1048576 bytes");
     }
@@ -178,15 +195,28 @@
         for (index, server) in self.servers.iter().enumerate() {
             let place = format!("servers[{index}]");
             if !is_label(&server.name) {
-                found.push(Finding::new(&place, "`name` must be 1 to 64 letters, digits, `-` or `_`"));
+                found.push(Finding::new(
+                    &place,
+                    "`name` must be 1 to 64 letters, digits, `-` or `_`",
+                ));
             }
             if !names.insert(&server.name) {
-                found.push(Finding::new(&place, format!("`{}` is named twice", server.name)));
+                found.push(Finding::new(
+                    &place,
+                    format!("`{}` is named twice", server.name),
+                ));
             }
             if !addresses.insert(server.address) {
-                found.push(Finding::new(&place, format!("{} is used twice", server.address)));
+                found.push(Finding::new(
+                    &place,
+                    format!("{} is used twice", server.address),
+                ));
             }
-            if !self.regions.iter().any(|region| region == server.domain.region()) {
+            if !self
+                .regions
+                .iter()
+                .any(|region| region == server.domain.region())
+            {
                 let text = format!("`{}` lies outside `regions`", server.domain);
                 found.push(Finding::new(&place, text));
             }
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -194,6 +194,11 @@
         !self.leaving && self.view.revision().0 > 0 && self.is_valid()
     }
 
+    /// Whether an orderly stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// The servers under this host's control.
     pub fn controls(&self) -> impl Iterator<Item = &Control> {
         self.controls.values()
--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -225,7 +225,10 @@
             return;
         };
         let (entry, region) = (info.entry, info.region);
-        let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
+        let token = self
+            .controls
+            .get(&server)
+            .map_or(Token(0), |control| control.token);
         let timing = self.timing();
         let since = self.now + timing.key_ahead + timing.drift();
         let mut opened = Vec::new();
@@ -269,7 +272,9 @@
     /// Takes note, and tells the successor, that a server has warmed up.
     pub(super) fn note_warm(&mut self, server: ServerKey) {
         let control = self.controls.get(&server);
-        let boot = control.filter(|control| control.limiter.is_full()).and_then(|c| c.boot);
+        let boot = control
+            .filter(|control| control.limiter.is_full())
+            .and_then(|c| c.boot);
         let Some(boot) = boot else {
             return;
         };
@@ -284,7 +289,9 @@
 
     /// Those of some servers that are known to be warm.
     pub(super) fn warm_servers(&self, servers: &[ServerKey]) -> Vec<WarmServer> {
-        let known = servers.iter().filter_map(|server| Some((server, self.warm.get(server)?)));
+        let known = servers
+            .iter()
+            .filter_map(|server| Some((server, self.warm.get(server)?)));
         known
             .map(|(server, boot)| WarmServer {
                 server: self.server_name(*server),
@@ -373,4 +380,3 @@
         }
     }
 }
-
--- a/crates/core/src/host/entrance.rs
+++ b/crates/core/src/host/entrance.rs
@@ -91,7 +91,10 @@
             other => other,
         };
         let claims_not_run = matches!(outcome, Outcome::NotRun(_));
-        ensure(Invariant::NotRunIsTrue, !(claims_not_run && caller.doubtful));
+        ensure(
+            Invariant::NotRunIsTrue,
+            !(claims_not_run && caller.doubtful),
+        );
         if matches!(outcome, Outcome::Unknown(_)) {
             let detail = format!("{outcome:?}");
             self.log(Code::RequestDoubtful, caller.request.entry, detail);
@@ -166,10 +169,9 @@
         let outcome = match caller.holder {
             None if caller.doubtful => Outcome::Unknown(Doubt::Deadline),
             None => unasked(&caller.request, Refusal::Unavailable),
-            Some(holder) if holder == self.settings.id => {
-                self.withdraw(Origin::Caller(id))
-                    .unwrap_or(Outcome::Unknown(Doubt::Deadline))
-            }
+            Some(holder) if holder == self.settings.id => self
+                .withdraw(Origin::Caller(id))
+                .unwrap_or(Outcome::Unknown(Doubt::Deadline)),
             Some(_) => Outcome::Unknown(Doubt::Deadline),
         };
         self.respond(id, outcome);
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -208,7 +208,10 @@
         let drift = self.timing().drift();
         self.controls.get(&server).is_some_and(|control| {
             let orders = control.ghosts.iter().any(|end| *end > now);
-            let grants = control.unconfirmed.iter().any(|(end, _)| *end + drift > now);
+            let grants = control
+                .unconfirmed
+                .iter()
+                .any(|(end, _)| *end + drift > now);
             let ghosts = orders || grants;
             control.running.is_empty() && !ghosts && control.call.is_none()
         })
@@ -223,7 +226,10 @@
         self.set_step(server, Step::Offered);
         let owned = self.shards_of(server);
         let shards = self.view.owned_by(server).into_iter().collect();
-        let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
+        let token = self
+            .controls
+            .get(&server)
+            .map_or(Token(0), |control| control.token);
         let message = Message::Handover {
             id: outgoing.id,
             server: self.server_name(server),
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -79,7 +79,8 @@
             return;
         }
         let period = self.timing().renewal;
-        self.timers.subscribe(self.now + period, Wake::Renew(server));
+        self.timers
+            .subscribe(self.now + period, Wake::Renew(server));
         self.touch_placement(server);
         self.settle_phase(server);
         self.call_register(server);
@@ -139,7 +140,10 @@
 
     /// Whether the record still gives this host the control that it has.
     fn is_recorded(&self, server: ServerKey, id: crate::ids::HostId) -> bool {
-        let token = self.controls.get(&server).map_or(Token(0), |control| control.token);
+        let token = self
+            .controls
+            .get(&server)
+            .map_or(Token(0), |control| control.token);
         let record = self.view.control_record(server);
         record.is_some_and(|record| record.host == id && record.token <= token)
     }
@@ -260,7 +264,8 @@
             control.phase = Phase::Active;
         }
         let silent = now.since(control.answered.max(control.gained)) > UNHEARD;
-        let lapsed = now > control.lease_until + drift && control.call.is_none_or(|c| c.expires.is_none());
+        let lapsed =
+            now > control.lease_until + drift && control.call.is_none_or(|c| c.expires.is_none());
         if control.phase == Phase::Active && control.unsure && silent && lapsed && valid {
             control.phase = Phase::Lost;
             control.granted.clear();
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -5,12 +5,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Host;
-use super::storage::{RegionWrite, Purpose};
+use super::storage::{Purpose, RegionWrite};
 use crate::catalogue::Server;
 use crate::ids::{HostId, Revision, ServerKey, Token};
 use crate::log::Code;
 use crate::message::Message;
-use crate::record::{ControlRecord, RegionRecord, HostRecord, Subject};
+use crate::record::{ControlRecord, HostRecord, RegionRecord, Subject};
 use crate::time::Time;
 use crate::timer::Wake;
 use crate::validity::Ward;
@@ -56,13 +56,7 @@
         self.compare_revision(from, revision);
     }
 
-    pub(super) fn take_promise(
-        &mut self,
-        from: HostId,
-        sent: Time,
-        term: u64,
-        revision: Revision,
-    ) {
+    pub(super) fn take_promise(&mut self, from: HostId, sent: Time, term: u64, revision: Revision) {
         let current = self.own_term();
         let counts = self.successor() == Some(from)
             && current == Some(term)
@@ -175,7 +169,10 @@
         let now = self.now;
         let validity = self.timing().validity;
         let mut named = Vec::new();
-        let hosts = self.own_record().into_iter().flat_map(|record| &record.hosts);
+        let hosts = self
+            .own_record()
+            .into_iter()
+            .flat_map(|record| &record.hosts);
         for (host, kept) in hosts {
             if kept.successor == Some(id) {
                 named.push((*host, kept.term));
@@ -186,7 +183,8 @@
         for (host, term) in named {
             let current = self.wards.get(&host).map(|ward| ward.term);
             if current != Some(term) {
-                self.wards.insert(host, Ward::new(host, term, now, validity));
+                self.wards
+                    .insert(host, Ward::new(host, term, now, validity));
             }
         }
     }
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -109,7 +109,10 @@
                 continue;
             };
             let place = (info.entry, info.region);
-            let moving = self.controls.get_mut(&server).and_then(|c| c.moving.as_mut());
+            let moving = self
+                .controls
+                .get_mut(&server)
+                .and_then(|c| c.moving.as_mut());
             if let Some(guard) = moving.and_then(|moving| moving.guard.as_mut())
                 && guard.asked <= sent
             {
@@ -184,7 +187,10 @@
             owner.is_some_and(|owner| owner.epoch >= epoch)
         };
         moving.step == MoveStep::Writing
-            && moving.shards.iter().all(|(index, (_, epoch))| known(index, *epoch))
+            && moving
+                .shards
+                .iter()
+                .all(|(index, (_, epoch))| known(index, *epoch))
     }
 
     pub(super) fn give_up_placement_write(&mut self, write: &PlacementWrite) {
@@ -273,7 +279,12 @@
         let server = self
             .controls
             .iter()
-            .find(|(_, control)| control.moving.as_ref().is_some_and(|moving| moving.id == id))
+            .find(|(_, control)| {
+                control
+                    .moving
+                    .as_ref()
+                    .is_some_and(|moving| moving.id == id)
+            })
             .map(|(server, _)| *server);
         let Some(server) = server else {
             return;
@@ -562,8 +573,14 @@
         let Some(moving) = control.moving.take() else {
             return;
         };
-        let kept = moving.shards.keys().any(|index| control.granted.contains_key(index));
-        ensure(Invariant::ReleasedFirst, control.phase == Phase::Lost || !kept);
+        let kept = moving
+            .shards
+            .keys()
+            .any(|index| control.granted.contains_key(index));
+        ensure(
+            Invariant::ReleasedFirst,
+            control.phase == Phase::Lost || !kept,
+        );
         let name = self.server_name(server);
         let detail = format!("{} shards", moving.shards.len());
         self.log(code, name.clone(), detail.clone());
@@ -685,7 +702,11 @@
         let count = self.view.entries.get(entry).map_or(0, |entry| entry.shards);
         let mut holdings = self.holdings(entry, region);
         for (server, held) in &mut holdings {
-            held.weight = if self.view.is_eligible(*server) { 1.0 } else { 0.0 };
+            held.weight = if self.view.is_eligible(*server) {
+                1.0
+            } else {
+                0.0
+            };
         }
         balance::spread(count, &holdings)
             .into_iter()
--- a/crates/core/src/host/service.rs
+++ b/crates/core/src/host/service.rs
@@ -100,9 +100,7 @@
             let Some(control) = self.controls.get_mut(&server) else {
                 return;
             };
-            if control.phase == Phase::Active
-                && control.load(now) >= control.limiter.limit()
-            {
+            if control.phase == Phase::Active && control.load(now) >= control.limiter.limit() {
                 return;
             }
             let Some(job) = control.queue.pop() else {
@@ -281,8 +279,14 @@
         };
         let epoch = control.granted.get(&job.shard.index).copied();
         ensure(Invariant::OrderIsGranted, epoch.is_some());
-        ensure(Invariant::OrderIsValid, valid_until > now && control.phase == Phase::Active);
-        ensure(Invariant::WithinLimit, control.load(now) < control.limiter.limit());
+        ensure(
+            Invariant::OrderIsValid,
+            valid_until > now && control.phase == Phase::Active,
+        );
+        ensure(
+            Invariant::WithinLimit,
+            control.load(now) < control.limiter.limit(),
+        );
         ensure(Invariant::OutIsIdle, !shut);
         let boot = control.boot.unwrap_or_default();
         let order = Order {
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -102,9 +102,10 @@
 
     /// Whether a change of this host's successor has no known effect yet.
     pub(super) fn is_changing_successor(&self) -> bool {
-        self.storage.writes.values().any(|write| {
-            matches!(&write.purpose, Purpose::Region(region) if region.succession)
-        })
+        self.storage
+            .writes
+            .values()
+            .any(|write| matches!(&write.purpose, Purpose::Region(region) if region.succession))
     }
 
     pub(super) fn read(&mut self, key: ObjectKey) {
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -57,7 +57,8 @@
 
     /// Forgets crashes that are older than the span.
     pub fn expire(&mut self, now: Time, span: Duration) {
-        self.suspects.retain(|_, suspect| now.since(suspect.last) < span);
+        self.suspects
+            .retain(|_, suspect| now.since(suspect.last) < span);
     }
 
     fn crashes(&self, fingerprint: u64) -> u32 {
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -57,7 +57,11 @@
 
     /// Takes out the oldest item of the highest class.
     pub fn pop(&mut self) -> Option<T> {
-        let highest = self.classes.values_mut().rev().find(|line| !line.is_empty())?;
+        let highest = self
+            .classes
+            .values_mut()
+            .rev()
+            .find(|line| !line.is_empty())?;
         highest.pop_front().map(|waiting| waiting.item)
     }
 
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -11,7 +11,9 @@
 /// A process takes the wall clock once at its start and adds monotonic time to it, so readings
 /// never go back. Two clocks differ by at most the skew bound of
 /// [`Timing`](crate::settings::Timing); see `docs/design.md`, "Clocks".
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct Time(u64);
 
 impl Time {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -224,7 +224,9 @@
 
     /// Owners that the store does not know yet.
     pub fn provisional(&self) -> impl Iterator<Item = (ShardKey, Owner)> {
-        self.provisional.iter().map(|(shard, owner)| (*shard, *owner))
+        self.provisional
+            .iter()
+            .map(|(shard, owner)| (*shard, *owner))
     }
 
     fn apply_one(&mut self, object: &Object) -> bool {
