--- /dev/null
+++ b/crates/settings/src/report.rs
@@ -0,0 +1,65 @@
+//! Everything that is wrong with one file.
+
+use miette::{Diagnostic, LabeledSpan, NamedSource, SourceCode};
+
+/// The result of reading a file.
+pub type Result<T> = std::result::Result<T, Report>;
+
+/// Everything that is wrong with one file, each finding with its place.
+#[derive(Debug)]
+pub struct Report {
+    source: NamedSource<String>,
+    labels: Vec<LabeledSpan>,
+    texts: Vec<String>,
+}
+
+impl Report {
+    pub(crate) fn new(name: &str, text: &str, findings: Vec<crate::reader::Located>) -> Self {
+        let labels = findings
+            .iter()
+            .map(|found| LabeledSpan::at(found.span.clone(), found.text.clone()))
+            .collect();
+        Self {
+            source: NamedSource::new(name, text.to_owned()),
+            labels,
+            texts: findings.into_iter().map(|found| found.text).collect(),
+        }
+    }
+
+    /// The findings as sentences, in the order of the file.
+    pub fn texts(&self) -> &[String] {
+        &self.texts
+    }
+
+    /// Where each finding stands, as byte offsets and lengths.
+    pub fn spans(&self) -> Vec<(usize, usize)> {
+        self.labels
+            .iter()
+            .map(|label| (label.offset(), label.len()))
+            .collect()
+    }
+}
+
+impl std::fmt::Display for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let count = self.texts.len();
+        let noun = if count == 1 { "finding" } else { "findings" };
+        write!(f, "{}: {count} {noun}", self.source.name())
+    }
+}
+
+impl std::error::Error for Report {}
+
+impl Diagnostic for Report {
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(self.labels.iter().cloned()))
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
+        Some(Box::new("docs/settings.md lists every field, its type and its range"))
+    }
+}
