--- a/crates/core/src/host/entrance.rs
+++ b/crates/core/src/host/entrance.rs
@@ -49,6 +49,12 @@
         None
     }
 
+    /// The largest body of an entry's requests, in bytes.
+    pub fn body_limit(&self, entry: &str) -> usize {
+        self.entry(entry)
+            .map_or(0, |entry| entry.limits.body as usize)
+    }
+
     /// The regions that may serve a tenant's requests for an entry.
     pub fn home_regions(&self, entry: &str, tenant: &str) -> &[String] {
         self.entry(entry)
--- /dev/null
+++ b/crates/host/src/telemetry.rs
@@ -0,0 +1,70 @@
+//! Logs and metrics.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use amaranthshunt_core::log::{Level, Record};
+use amaranthshunt_core::{Outcome, Time};
+use cadence::{BufferedUdpMetricSink, CountedExt, Gauged, NopMetricSink, StatsdClient, Timed};
+use logforth::append::Stdout;
+use logforth::layout::JsonLayout;
+
+/// The prefix of every metric.
+const PREFIX: &str = "amaranthshunt";
+
+/// Sends log lines to standard output as JSON, one object a line.
+pub(crate) fn start_logs() {
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(Stdout::default().with_layout(JsonLayout::default())))
+        .apply();
+}
+
+/// Writes one line of the event catalogue.
+pub(crate) fn write_log(host: &str, record: &Record) {
+    let level = match record.code.level() {
+        Level::Info => log::Level::Info,
+        Level::Warn => log::Level::Warn,
+        Level::Error => log::Level::Error,
+    };
+    log::log!(target: "amaranthshunt", level, "{host} {record}");
+}
+
+/// Counts requests and times them.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Sends metrics to a StatsD address, or nowhere.
+    pub(crate) fn new(address: Option<SocketAddr>) -> Self {
+        let sink = address.and_then(|address| {
+            let socket = UdpSocket::bind("127.0.0.1:0").ok()?;
+            socket.set_nonblocking(true).ok()?;
+            BufferedUdpMetricSink::from(address, socket).ok()
+        });
+        let client = match sink {
+            Some(sink) => StatsdClient::from_sink(PREFIX, sink),
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+        Self { client }
+    }
+
+    /// Counts a request by its outcome.
+    pub(crate) fn request(&self, outcome: &Outcome, started: Time, ended: Time) {
+        let name = match outcome {
+            Outcome::Answer(_) => "requests.answer",
+            Outcome::NotRun(_) => "requests.not_run",
+            Outcome::Unknown(_) => "requests.unknown",
+        };
+        let _ = self.client.incr(name);
+        let millis = ended.since(started).as_millis() as u64;
+        let _ = self.client.time("requests.millis", millis);
+    }
+
+    /// Reports what the host holds.
+    pub(crate) fn state(&self, waiting: usize, controlled: usize, records: usize) {
+        let _ = self.client.gauge("requests.waiting", waiting as u64);
+        let _ = self.client.gauge("servers.controlled", controlled as u64);
+        let _ = self.client.gauge("ledger.records", records as u64);
+    }
+}
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -88,7 +88,9 @@
         let request = register_request(address, grant)?;
         let reply = self.http.send(address, request, limit).await?;
         if reply.status == 409 {
-            let token = reply.header(header::TOKEN).and_then(|text| text.parse().ok());
+            let token = reply
+                .header(header::TOKEN)
+                .and_then(|text| text.parse().ok());
             return Ok(RegisterResult::Fenced(Token(token.unwrap_or_default())));
         }
         let state = read_state(&reply)?;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -27,7 +27,9 @@
 impl Reply {
     /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.response.header(name).map(|values| values.last().as_str())
+        self.response
+            .header(name)
+            .map(|values| values.last().as_str())
     }
 }
 
@@ -81,7 +83,9 @@
     async fn is_clean(&self) -> bool {
         let mut byte = [0];
         let peek = self.stream.peek(&mut byte);
-        async_std::future::timeout(Duration::ZERO, peek).await.is_err()
+        async_std::future::timeout(Duration::ZERO, peek)
+            .await
+            .is_err()
     }
 }
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -122,7 +122,10 @@
             return Vec::new();
         };
         let DeValue::Array(items) = value.get_ref() else {
-            findings.add(value.span(), format!("`{}` must be a list", self.path(name)));
+            findings.add(
+                value.span(),
+                format!("`{}` must be a list", self.path(name)),
+            );
             return Vec::new();
         };
         items
@@ -147,9 +150,7 @@
             return default.unwrap_or(range.start);
         };
         let number = match value.get_ref() {
-            DeValue::Integer(digits) => {
-                i64::from_str_radix(digits.as_str(), digits.radix()).ok()
-            }
+            DeValue::Integer(digits) => i64::from_str_radix(digits.as_str(), digits.radix()).ok(),
             _ => None,
         };
         let fitting = number.and_then(|number| u32::try_from(number).ok());
@@ -189,7 +190,10 @@
         if let DeValue::Boolean(flag) = value.get_ref() {
             return *flag;
         }
-        findings.add(value.span(), format!("`{}` must be true or false", self.path(name)));
+        findings.add(
+            value.span(),
+            format!("`{}` must be true or false", self.path(name)),
+        );
         default
     }
 
@@ -229,7 +233,10 @@
         };
         let span = value.span();
         let DeValue::Array(items) = value.into_inner() else {
-            findings.add(span, format!("`{}` must be a list of tables", self.path(name)));
+            findings.add(
+                span,
+                format!("`{}` must be a list of tables", self.path(name)),
+            );
             return Vec::new();
         };
         let mut sections = Vec::new();
@@ -247,7 +254,10 @@
 
     /// The names of the fields that are left.
     pub(crate) fn names(&self) -> Vec<String> {
-        self.table.keys().map(|key| key.get_ref().to_string()).collect()
+        self.table
+            .keys()
+            .map(|key| key.get_ref().to_string())
+            .collect()
     }
 
     /// Reports every field that was not taken out.
--- a/crates/settings/src/report.rs
+++ b/crates/settings/src/report.rs
@@ -60,6 +60,8 @@
     }
 
     fn help<'a>(&'a self) -> Option<Box<dyn std::fmt::Display + 'a>> {
-        Some(Box::new("docs/settings.md lists every field, its type and its range"))
+        Some(Box::new(
+            "docs/settings.md lists every field, its type and its range",
+        ))
     }
 }
