amaranthctl and the quickstart

Cause: operators need a program, newcomers one command that shows it all. Change: amaranthctl with catalogue, orders, status, audit and settings checks; quickstart in one process over real sockets.

--- /dev/null
+++ b/crates/ctl/src/change.rs
@@ -0,0 +1,246 @@
+//! Changes to the catalogue and to orders.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use amaranthshunt_core::catalogue::Entry;
+use amaranthshunt_core::finding::Finding;
+use amaranthshunt_core::ids::Revision;
+use amaranthshunt_core::object::{CONFIG_PREFIX, ObjectKey};
+use amaranthshunt_core::record::{OrderRecord, PlacementRecord, Subject};
+use amaranthshunt_platform::{PlatformError, StoreClient, StoreObject};
+use bytes::Bytes;
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use serde_json::Value;
+
+use crate::audit::{AuditRecord, Intent};
+
+/// Sendings of a write that got no answer.
+const SENDINGS: u32 = 5;
+
+/// A value that is to replace what an operator has seen.
+struct Change<'a> {
+    operator: &'a str,
+    action: &'a str,
+    subject: String,
+    key: ObjectKey,
+    before: StoreObject,
+    after: Option<Bytes>,
+}
+
+/// Writes a checked catalogue entry.
+pub(crate) async fn apply_entry(
+    store: &StoreClient,
+    operator: &str,
+    entry: &Entry,
+) -> Result<Revision> {
+    let key = ObjectKey::entry(&entry.name);
+    let before = read(store, &key).await?;
+    if let Some(value) = &before.value {
+        let old: Entry = serde_json::from_slice(value).into_diagnostic()?;
+        refuse(entry.replacement_findings(&old))?;
+        refuse(server_findings(store, entry, &old).await?)?;
+    }
+    refuse(name_findings(store, entry).await?)?;
+    let after = serde_json::to_vec(entry).into_diagnostic()?;
+    let change = Change {
+        operator,
+        action: "entry-apply",
+        subject: entry.name.clone(),
+        key,
+        before,
+        after: Some(after.into()),
+    };
+    change.carry_out(store).await
+}
+
+/// Removes a catalogue entry.
+pub(crate) async fn remove_entry(
+    store: &StoreClient,
+    operator: &str,
+    name: &str,
+) -> Result<Revision> {
+    let key = ObjectKey::entry(name);
+    let before = read(store, &key).await?;
+    if before.value.is_none() {
+        return Err(miette!("no entry `{name}`; `amaranthctl entry list` shows them"));
+    }
+    let change = Change {
+        operator,
+        action: "entry-remove",
+        subject: name.to_owned(),
+        key,
+        before,
+        after: None,
+    };
+    change.carry_out(store).await
+}
+
+/// Takes a subject out of service, or returns it.
+pub(crate) async fn give_order(
+    store: &StoreClient,
+    operator: &str,
+    subject: &Subject,
+    out: bool,
+) -> Result<Revision> {
+    let key = ObjectKey::order(subject);
+    let before = read(store, &key).await?;
+    let order = OrderRecord {
+        out,
+        operator: operator.to_owned(),
+    };
+    let after = serde_json::to_vec(&order).into_diagnostic()?;
+    let change = Change {
+        operator,
+        action: if out { "take-out" } else { "return" },
+        subject: key.0.trim_start_matches(CONFIG_PREFIX).to_owned(),
+        key,
+        before,
+        after: Some(after.into()),
+    };
+    change.carry_out(store).await
+}
+
+impl Change<'_> {
+    async fn carry_out(self, store: &StoreClient) -> Result<Revision> {
+        let record = AuditRecord {
+            actor: self.operator.to_owned(),
+            action: self.action.to_owned(),
+            subject: self.subject.clone(),
+            detail: String::new(),
+            at_millis: now_millis(),
+            before: json_of(self.before.value.as_ref()),
+            after: json_of(self.after.as_ref()),
+            revision: None,
+        };
+        let intent = Intent::open(store, record)
+            .await
+            .into_diagnostic()
+            .wrap_err("nothing was changed: the audit trail could not be written")?;
+        let revision = self.write(store).await?;
+        intent
+            .confirm(store, revision)
+            .await
+            .into_diagnostic()
+            .wrap_err("the change took effect, but its audit record says it is not confirmed")?;
+        Ok(revision)
+    }
+
+    /// Sends the write until its effect is known.
+    ///
+    /// After a lost answer the same conditional write is sent again; a conflict then means that
+    /// the first one took effect, if the object holds the new value.
+    async fn write(&self, store: &StoreClient) -> Result<Revision> {
+        for _ in 0..SENDINGS {
+            match self.send(store).await {
+                Ok(revision) => return Ok(revision),
+                Err(PlatformError::Conflict) => return self.resolve(store).await,
+                Err(PlatformError::Lost(_)) => {}
+                Err(error) => return Err(error).into_diagnostic(),
+            }
+        }
+        Err(miette!(
+            "the store gave no answer; the change may have taken effect: see `amaranthctl audit`"
+        ))
+    }
+
+    async fn send(&self, store: &StoreClient) -> amaranthshunt_platform::Result<Revision> {
+        let expected = self.before.revision;
+        match &self.after {
+            Some(value) => store.put(&self.key, expected, value.clone()).await,
+            None => store.delete(&self.key, expected).await,
+        }
+    }
+
+    async fn resolve(&self, store: &StoreClient) -> Result<Revision> {
+        let found = read(store, &self.key).await?;
+        if found.value == self.after && found.revision > self.before.revision {
+            return Ok(found.revision);
+        }
+        let current = json_of(found.value.as_ref()).unwrap_or_default();
+        Err(miette!(
+            help = "look at what changed and give the command again",
+            "somebody else changed {} first; nothing was written. It now reads {current}",
+            self.subject
+        ))
+    }
+}
+
+async fn read(store: &StoreClient, key: &ObjectKey) -> Result<StoreObject> {
+    store
+        .get(key)
+        .await
+        .into_diagnostic()
+        .wrap_err("the object store does not answer; nothing was changed")
+}
+
+fn refuse(findings: Vec<Finding>) -> Result<()> {
+    if findings.is_empty() {
+        return Ok(());
+    }
+    let lines: Vec<String> = findings.iter().map(Finding::to_string).collect();
+    Err(miette!("nothing was changed:\n{}", lines.join("\n")))
+}
+
+/// Servers that would leave the entry while they still own shards.
+async fn server_findings(store: &StoreClient, new: &Entry, old: &Entry) -> Result<Vec<Finding>> {
+    let mut found = Vec::new();
+    let kept = |name: &str| new.servers.iter().any(|server| server.name == name);
+    for region in &old.regions {
+        let object = read(store, &ObjectKey::placement(&old.name, region)).await?;
+        let Some(value) = object.value else {
+            continue;
+        };
+        let record: PlacementRecord = serde_json::from_slice(&value).into_diagnostic()?;
+        for server in old.servers.iter().filter(|server| !kept(&server.name)) {
+            let shards = record.shards.iter();
+            let owned = shards.filter(|shard| shard.server == server.name).count();
+            if owned > 0 {
+                let text = format!(
+                    "drops `{}`, which still owns {owned} shards; \
+                     give `amaranthctl server out {}` first",
+                    server.name, server.name
+                );
+                found.push(Finding::new("servers", text));
+            }
+        }
+    }
+    Ok(found)
+}
+
+/// Servers whose names other entries use.
+async fn name_findings(store: &StoreClient, entry: &Entry) -> Result<Vec<Finding>> {
+    let others = entries(store).await?;
+    let mut found = Vec::new();
+    for other in others.iter().filter(|other| other.name != entry.name) {
+        for server in &entry.servers {
+            if other.servers.iter().any(|known| known.name == server.name) {
+                let text = format!("names `{}`, which entry `{}` has", server.name, other.name);
+                found.push(Finding::new("servers", text));
+            }
+        }
+    }
+    Ok(found)
+}
+
+/// Every entry of the catalogue.
+pub(crate) async fn entries(store: &StoreClient) -> Result<Vec<Entry>> {
+    let prefix = format!("{CONFIG_PREFIX}entry/");
+    let objects = store
+        .list(&prefix)
+        .await
+        .into_diagnostic()
+        .wrap_err("the object store does not answer")?;
+    let values = objects.iter().filter_map(|object| object.value.as_ref());
+    values
+        .map(|value| serde_json::from_slice(value).into_diagnostic())
+        .collect()
+}
+
+fn json_of(value: Option<&Bytes>) -> Option<Value> {
+    serde_json::from_slice(value?).ok()
+}
+
+fn now_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,83 @@
+//! What the store says of hosts, servers and shards.
+
+use std::collections::BTreeMap;
+
+use amaranthshunt_core::object::{CONFIG_PREFIX, ObjectKey, ObjectKind};
+use amaranthshunt_core::record::{OrderRecord, PlacementRecord, RegionRecord, Subject};
+use amaranthshunt_platform::StoreClient;
+use miette::{IntoDiagnostic, Result, WrapErr};
+
+/// Hosts, control, shards and orders as lines of text.
+pub(crate) async fn describe(store: &StoreClient) -> Result<Vec<String>> {
+    let objects = store
+        .list(CONFIG_PREFIX)
+        .await
+        .into_diagnostic()
+        .wrap_err("the object store does not answer")?;
+    let mut lines = Vec::new();
+    for object in &objects {
+        let Some(value) = object.value.as_ref() else {
+            continue;
+        };
+        match object.key.kind() {
+            Some(ObjectKind::Region(name)) => {
+                let record = serde_json::from_slice(value).into_diagnostic()?;
+                describe_region(name, &record, &mut lines);
+            }
+            Some(ObjectKind::Placement { entry, region }) => {
+                let record = serde_json::from_slice(value).into_diagnostic()?;
+                describe_placement(entry, region, &record, &mut lines);
+            }
+            Some(ObjectKind::Order(subject)) => {
+                let order: OrderRecord = serde_json::from_slice(value).into_diagnostic()?;
+                if order.out {
+                    lines.push(format!("order   {} is out, by {}", words(&subject), order.operator));
+                }
+            }
+            Some(ObjectKind::Entry(_)) | None => {}
+        }
+    }
+    Ok(lines)
+}
+
+fn describe_region(name: &str, record: &RegionRecord, lines: &mut Vec<String>) {
+    for (id, host) in &record.hosts {
+        let controlled = record.control.values().filter(|control| control.host == *id);
+        let successor = host.successor.map_or_else(
+            || "nobody".to_owned(),
+            |successor| {
+                let known = record.hosts.get(&successor);
+                known.map_or_else(|| successor.to_string(), |known| known.name.clone())
+            },
+        );
+        lines.push(format!(
+            "host    {} ({id}) in {}, {} servers, succeeded by {successor}",
+            host.name,
+            host.domain,
+            controlled.count()
+        ));
+    }
+    if record.hosts.is_empty() {
+        lines.push(format!("region  {name} has no host on record"));
+    }
+}
+
+fn describe_placement(
+    entry: &str,
+    region: &str,
+    record: &PlacementRecord,
+    lines: &mut Vec<String>,
+) {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for shard in &record.shards {
+        *counts.entry(&shard.server).or_default() += 1;
+    }
+    for (server, count) in counts {
+        lines.push(format!("server  {server} owns {count} shards of {entry} in {region}"));
+    }
+}
+
+fn words(subject: &Subject) -> String {
+    let key = ObjectKey::order(subject).0;
+    key.trim_start_matches("cfg/order/").replacen('/', " ", 1)
+}
--- /dev/null
+++ b/crates/support/examples/quickstart.rs
@@ -0,0 +1,257 @@
+//! Everything on loopback in one process: requests, a lost server, a failure domain out and back.
+//!
+//! `cargo run --release --example quickstart`
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use amaranthshunt_core::catalogue::{Class, Entry, Limits, Server};
+use amaranthshunt_core::ids::Revision;
+use amaranthshunt_core::object::ObjectKey;
+use amaranthshunt_core::record::{OrderRecord, PlacementRecord, Subject};
+use amaranthshunt_host::Node;
+use amaranthshunt_platform::{HttpClient, StoreClient};
+use amaranthshunt_settings::read_host_file;
+use amaranthshunt_support::{
+    BackendOptions, BackendStandIn, Journal, StoreStandIn, free_address,
+};
+use async_std::task;
+use http_types::{Method, Request, Url};
+
+/// The failure domains of the quickstart.
+const DOMAINS: [&str; 2] = ["este/e1", "este/e2"];
+/// Time that each step may take.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+type Failure = Box<dyn std::error::Error>;
+
+struct Cluster {
+    store: StoreStandIn,
+    client: StoreClient,
+    nodes: Vec<Arc<Node>>,
+    backends: Vec<BackendStandIn>,
+    journal: Arc<Journal>,
+    http: HttpClient,
+}
+
+fn main() -> Result<(), Failure> {
+    task::block_on(tour())
+}
+
+async fn tour() -> Result<(), Failure> {
+    let cluster = start().await?;
+    println!("two failure domains, {} hosts, {} backend servers", 4, 4);
+    cluster.await_answer("k1").await?;
+    let started = Instant::now();
+    for number in 0..200 {
+        cluster.ask(&format!("k{number}"), number).await?;
+    }
+    println!("200 requests answered in {:?}", started.elapsed());
+    lose_owner(&cluster).await?;
+    take_domain_out(&cluster).await?;
+    println!(
+        "{} runs in all, {} double runs, {} double owners, {} overruns",
+        cluster.journal.total(),
+        cluster.journal.double_runs(),
+        cluster.journal.double_owners(),
+        cluster.journal.overruns()
+    );
+    println!("store: {:?} reads, writes, watches", cluster.store.calls());
+    for node in &cluster.nodes {
+        node.kill();
+    }
+    Ok(())
+}
+
+async fn lose_owner(cluster: &Cluster) -> Result<(), Failure> {
+    let victim = &cluster.backends[0];
+    let key = cluster.key_of(&victim.options().name).await?;
+    println!("key {key} is owned by {}; it is lost now", victim.options().name);
+    victim.kill();
+    let took = cluster.await_answer(&key).await?;
+    println!("key {key} is served again after {took:?}");
+    victim.restart().await?;
+    Ok(())
+}
+
+async fn take_domain_out(cluster: &Cluster) -> Result<(), Failure> {
+    cluster.order(true).await?;
+    let started = Instant::now();
+    while cluster.owned_in(DOMAINS[0]).await? > 0 {
+        within(started)?;
+        cluster.ask("k7", 0).await?;
+    }
+    println!("{} is out after {:?}; requests went on", DOMAINS[0], started.elapsed());
+    cluster.order(false).await?;
+    let started = Instant::now();
+    while cluster.owned_in(DOMAINS[0]).await? < 10 {
+        within(started)?;
+        cluster.ask("k7", 0).await?;
+    }
+    println!("{} is back after {:?}", DOMAINS[0], started.elapsed());
+    Ok(())
+}
+
+fn within(started: Instant) -> Result<(), Failure> {
+    if started.elapsed() > PATIENCE {
+        return Err("a step took too long".into());
+    }
+    Ok(())
+}
+
+impl Cluster {
+    async fn ask(&self, key: &str, host: usize) -> Result<(), Failure> {
+        let host = self.nodes[host % self.nodes.len()].file().callers;
+        let status = self.send(host, key).await?;
+        if status == 200 {
+            return Ok(());
+        }
+        Err(format!("{key} was answered with status {status}").into())
+    }
+
+    async fn await_answer(&self, key: &str) -> Result<Duration, Failure> {
+        let host = self.nodes[0].file().callers;
+        let started = Instant::now();
+        while self.send(host, key).await? != 200 {
+            within(started)?;
+            task::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(started.elapsed())
+    }
+
+    async fn send(&self, host: SocketAddr, key: &str) -> Result<u16, Failure> {
+        let url = Url::parse(&format!("http://{host}/v1/catalogue/{key}"))?;
+        let mut request = Request::new(Method::Post, url);
+        request.set_body(key);
+        let reply = self.http.send(host, request, PATIENCE).await?;
+        Ok(reply.status)
+    }
+
+    async fn placement(&self) -> Result<PlacementRecord, Failure> {
+        let key = ObjectKey::placement("catalogue", "este");
+        let found = self.client.get(&key).await?;
+        Ok(serde_json::from_slice(&found.value.unwrap_or_default())?)
+    }
+
+    async fn owned_in(&self, domain: &str) -> Result<usize, Failure> {
+        let prefix = domain.replace('/', "-");
+        let record = self.placement().await?;
+        let shards = record.shards.iter();
+        Ok(shards.filter(|shard| shard.server.starts_with(&prefix)).count())
+    }
+
+    /// A key that a server owns.
+    async fn key_of(&self, server: &str) -> Result<String, Failure> {
+        let record = self.placement().await?;
+        for number in 0..1_000 {
+            let request = amaranthshunt_core::Request {
+                entry: "catalogue".to_owned(),
+                tenant: String::new(),
+                key: format!("k{number}"),
+                idempotency: None,
+                repeat: false,
+                deadline: amaranthshunt_core::Time::ZERO,
+                body: bytes::Bytes::new(),
+            };
+            let index = request.key_hash() as u32 as usize % record.shards.len();
+            if record.shards[index].server == server {
+                return Ok(request.key);
+            }
+        }
+        Err("no key is owned by the server".into())
+    }
+
+    async fn order(&self, out: bool) -> Result<(), Failure> {
+        let key = ObjectKey::order(&Subject::Domain(DOMAINS[0].parse()?));
+        let found = self.client.get(&key).await?;
+        let order = OrderRecord {
+            out,
+            operator: "quickstart".to_owned(),
+        };
+        let value = serde_json::to_vec(&order)?;
+        self.client.put(&key, found.revision, value.into()).await?;
+        Ok(())
+    }
+}
+
+async fn start() -> Result<Cluster, Failure> {
+    let store = StoreStandIn::start(free_address()).await?;
+    let client = StoreClient::new(store.address(), Duration::from_secs(2));
+    let journal = Arc::new(Journal::default());
+    let entry = entry()?;
+    let mut backends = Vec::new();
+    for server in &entry.servers {
+        let options = BackendOptions {
+            name: server.name.clone(),
+            entry: entry.name.clone(),
+            address: server.address,
+            checks: server.checks,
+            slots: entry.limits.slots as usize,
+            cold_slots: entry.limits.cold_slots as usize,
+            warm_up: Duration::from_millis(u64::from(entry.limits.warm_up)),
+            service: Duration::from_millis(2),
+        };
+        backends.push(BackendStandIn::start(options, journal.clone()).await?);
+    }
+    let value = serde_json::to_vec(&entry)?;
+    client
+        .put(&ObjectKey::entry(&entry.name), Revision(0), value.into())
+        .await?;
+    let mut nodes = Vec::new();
+    for domain in DOMAINS {
+        for index in 0..2 {
+            nodes.push(start_host(domain, index, store.address()).await?);
+        }
+    }
+    Ok(Cluster {
+        store,
+        client,
+        nodes,
+        backends,
+        journal,
+        http: HttpClient::default(),
+    })
+}
+
+async fn start_host(domain: &str, index: usize, store: SocketAddr) -> Result<Arc<Node>, Failure> {
+    let name = format!("{}-h{index}", domain.replace('/', "-"));
+    let text = format!(
+        "name = \"{name}\"\ndomain = \"{domain}\"\n\
+         [listen]\ncallers = \"{}\"\nhosts = \"{}\"\n[platform]\nstore = \"{store}\"\n",
+        free_address(),
+        free_address()
+    );
+    Ok(Node::start(read_host_file("quickstart", &text)?).await?)
+}
+
+fn entry() -> Result<Entry, Failure> {
+    let mut servers = Vec::new();
+    for domain in DOMAINS {
+        for index in 0..2 {
+            servers.push(Server {
+                name: format!("{}-s{index}", domain.replace('/', "-")),
+                domain: domain.parse()?,
+                address: free_address(),
+                checks: index == 0,
+            });
+        }
+    }
+    Ok(Entry {
+        name: "catalogue".to_owned(),
+        owner: "quickstart".to_owned(),
+        class: Class::Read,
+        regions: vec!["este".to_owned()],
+        tenants: std::collections::BTreeMap::new(),
+        shards: 32,
+        limits: Limits {
+            slots: 4,
+            cold_slots: 1,
+            warm_up: 200,
+            connections: 110,
+            queue: 64,
+            body: 65_536,
+        },
+        servers,
+    })
+}
