Core: a hand-over counts for the server, epoch and giver it names

Ruled out: records after a takeover (tenure), late orders. Change: a hand-over is kept with its server and the giver's token; one for an epoch that is known, or from an earlier controller, is declined.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -40,7 +40,7 @@
 
 use copying::{Copying, KeptCopy};
 use entrance::Caller;
-use handover::{Incoming, Outgoing};
+use handover::{Incoming, Offer, Outgoing};
 use service::Repeat;
 use storage::Storage;
 
@@ -361,11 +361,20 @@
             Message::CopyKept { sequence } => self.take_copy_kept(from, sequence),
             Message::Handover {
                 id,
+                source,
                 server,
                 control,
                 shards,
                 ledger,
-            } => self.take_handover(from, id, &server, control, &shards, ledger),
+            } => {
+                let offer = Offer {
+                    source,
+                    control,
+                    shards,
+                    ledger,
+                };
+                self.take_handover(from, id, &server, offer);
+            }
             Message::HandoverTaken { id, taken } => self.take_handover_answer(from, id, taken),
             Message::Provision {
                 id,
--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -235,8 +235,10 @@
         for (index, epoch) in granted {
             let shard = self.shard(entry, region, *index);
             let incoming = self.incoming.remove(&shard);
+            let fitting =
+                incoming.filter(|incoming| incoming.epoch == *epoch && incoming.server == server);
             if !self.ledger.is_open(shard)
-                && let Some(mut incoming) = incoming.filter(|incoming| incoming.epoch == *epoch)
+                && let Some(mut incoming) = fitting
             {
                 self.ledger.adopt(shard, &mut incoming.ledger);
             }
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -14,12 +14,23 @@
 /// Time within which a hand-over has to be taken.
 const ANSWER: Duration = Duration::from_millis(300);
 
+/// What another host hands over.
+#[derive(Debug)]
+pub(super) struct Offer {
+    pub(super) source: Token,
+    pub(super) control: Option<Token>,
+    pub(super) shards: Vec<(u32, Epoch)>,
+    pub(super) ledger: LedgerPart,
+}
+
 /// Records of a shard that another host handed over.
 #[derive(Debug)]
 pub(super) struct Incoming {
     /// The server that is to own the shard.
     pub(super) server: ServerKey,
     pub(super) epoch: Epoch,
+    /// The token of the sender's control over the giving server.
+    source: Token,
     /// The token under which control of the shard's server comes along.
     pub(super) control: Option<Token>,
     pub(super) ledger: Ledger,
@@ -115,19 +126,11 @@
         }
     }
 
-    pub(super) fn take_handover(
-        &mut self,
-        from: HostId,
-        id: u64,
-        server: &str,
-        control: Option<Token>,
-        shards: &[(u32, Epoch)],
-        part: LedgerPart,
-    ) {
+    pub(super) fn take_handover(&mut self, from: HostId, id: u64, server: &str, offer: Offer) {
         let key = self.view.servers.find(server);
-        let ready = key.is_some_and(|key| self.is_ready_for(key, control.is_some()));
+        let ready = key.is_some_and(|key| self.is_ready_for(key, &offer));
         if let Some(key) = key.filter(|_| ready) {
-            self.keep_incoming(key, control, shards, part);
+            self.keep_incoming(key, offer);
         }
         self.send(from, Message::HandoverTaken { id, taken: ready });
     }
@@ -232,6 +235,7 @@
             .map_or(Token(0), |control| control.token);
         let message = Message::Handover {
             id: outgoing.id,
+            source: token,
             server: self.server_name(server),
             control: Some(Token(token.0 + 1)),
             shards,
@@ -267,12 +271,33 @@
     }
 
     /// Whether this host takes control of a server, or shards for one that it controls.
-    fn is_ready_for(&self, server: ServerKey, control: bool) -> bool {
+    fn is_ready_for(&self, server: ServerKey, offer: &Offer) -> bool {
         if self.leaving || !self.is_valid() || self.is_host_out() {
             return false;
         }
-        let known = self.controls.get(&server);
-        control || known.is_some_and(|control| control.phase == Phase::Active)
+        if offer.control.is_some() {
+            return true;
+        }
+        let control = self.controls.get(&server);
+        let active = control.is_some_and(|control| control.phase == Phase::Active);
+        active && self.is_news(server, offer)
+    }
+
+    /// Whether the shards of an offer have not come to their new owner yet, nor been offered by
+    /// a later controller of their old one.
+    fn is_news(&self, server: ServerKey, offer: &Offer) -> bool {
+        let Some(info) = self.view.servers.get(server) else {
+            return false;
+        };
+        offer.shards.iter().all(|(index, epoch)| {
+            let shard = self.shard(info.entry, info.region, *index);
+            let known = self.view.owner(shard).map_or(Epoch(0), |owner| owner.epoch);
+            let later = self
+                .incoming
+                .get(&shard)
+                .is_some_and(|incoming| (incoming.epoch, incoming.source) > (*epoch, offer.source));
+            known < *epoch && !later
+        })
     }
 
     /// Forgets handed over records that do not belong to the control that this host gained.
@@ -283,28 +308,23 @@
         });
     }
 
-    fn keep_incoming(
-        &mut self,
-        server: ServerKey,
-        control: Option<Token>,
-        shards: &[(u32, Epoch)],
-        part: LedgerPart,
-    ) {
+    fn keep_incoming(&mut self, server: ServerKey, offer: Offer) {
         let Some(info) = self.view.servers.get(server) else {
             return;
         };
         let (entry, region) = (info.entry, info.region);
-        let mut ledger = self.read_part(part);
-        for (index, epoch) in shards {
-            let shard = self.shard(entry, region, *index);
+        let mut ledger = self.read_part(offer.ledger);
+        for (index, epoch) in offer.shards {
+            let shard = self.shard(entry, region, index);
             let mut one = Ledger::default();
             one.adopt(shard, &mut ledger);
             self.incoming.remove(&shard);
             if one.is_open(shard) {
                 let incoming = Incoming {
                     server,
-                    epoch: *epoch,
-                    control,
+                    epoch,
+                    source: offer.source,
+                    control: offer.control,
                     ledger: one,
                 };
                 self.incoming.insert(shard, incoming);
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -483,7 +483,11 @@
             return;
         };
         let (entry, region) = (info.entry, info.region);
-        let Some(moving) = self.moving(server) else {
+        let Some(control) = self.controls.get(&server) else {
+            return;
+        };
+        let source = control.token;
+        let Some(moving) = &control.moving else {
             return;
         };
         let id = moving.id;
@@ -511,6 +515,7 @@
                 .collect();
             let message = Message::Handover {
                 id,
+                source,
                 server: self.server_name(target),
                 control: None,
                 shards,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -75,6 +75,9 @@
     Handover {
         /// The sender's number of the hand-over.
         id: u64,
+        /// The token of the sender's control over the server that gives the shards; of two
+        /// hand-overs the one with the higher token is the later one.
+        source: Token,
         /// The server that takes the shards.
         server: String,
         /// The token of the receiver's control, where control itself changes hands.
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -62,7 +62,9 @@
     let key = ObjectKey::entry(name);
     let before = read(store, &key).await?;
     if before.value.is_none() {
-        return Err(miette!("no entry `{name}`; `amaranthctl entry list` shows them"));
+        return Err(miette!(
+            "no entry `{name}`; `amaranthctl entry list` shows them"
+        ));
     }
     let change = Change {
         operator,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -90,7 +90,12 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "store", "the platform's object store", "ADDRESS");
-    options.optopt("o", "operator", "who makes the change (default: $USER)", "NAME");
+    options.optopt(
+        "o",
+        "operator",
+        "who makes the change (default: $USER)",
+        "NAME",
+    );
     options.optflag("h", "help", "print this help and exit");
     options.optflag("V", "version", "print the version and exit");
     options
@@ -121,9 +126,11 @@
                 let id = id.wrap_err("a run is named by its number, see `amaranthctl status`")?;
                 self.order(&Subject::Lost(HostId(id)), true).await?
             }
-            [kind @ ("domain" | "host" | "server"), verb @ ("out" | "return"), name] => {
-                self.order(&subject(kind, name)?, *verb == "out").await?
-            }
+            [
+                kind @ ("domain" | "host" | "server"),
+                verb @ ("out" | "return"),
+                name,
+            ] => self.order(&subject(kind, name)?, *verb == "out").await?,
             ["status"] => status::describe(&self.store()?).await?.join("\n"),
             ["audit"] => self.audit().await?,
             _ => return Ok(None),
@@ -153,7 +160,10 @@
             .iter()
             .map(|entry| {
                 let servers = entry.servers.len();
-                format!("{} {:?} of {}, {servers} servers", entry.name, entry.class, entry.owner)
+                format!(
+                    "{} {:?} of {}, {servers} servers",
+                    entry.name, entry.class, entry.owner
+                )
             })
             .collect();
         Ok(lines.join("\n"))
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -31,7 +31,11 @@
             Some(ObjectKind::Order(subject)) => {
                 let order: OrderRecord = serde_json::from_slice(value).into_diagnostic()?;
                 if order.out {
-                    lines.push(format!("order   {} is out, by {}", words(&subject), order.operator));
+                    lines.push(format!(
+                        "order   {} is out, by {}",
+                        words(&subject),
+                        order.operator
+                    ));
                 }
             }
             Some(ObjectKind::Entry(_)) | None => {}
@@ -42,7 +46,10 @@
 
 fn describe_region(name: &str, record: &RegionRecord, lines: &mut Vec<String>) {
     for (id, host) in &record.hosts {
-        let controlled = record.control.values().filter(|control| control.host == *id);
+        let controlled = record
+            .control
+            .values()
+            .filter(|control| control.host == *id);
         let successor = host.successor.map_or_else(
             || "nobody".to_owned(),
             |successor| {
@@ -73,7 +80,9 @@
         *counts.entry(&shard.server).or_default() += 1;
     }
     for (server, count) in counts {
-        lines.push(format!("server  {server} owns {count} shards of {entry} in {region}"));
+        lines.push(format!(
+            "server  {server} owns {count} shards of {entry} in {region}"
+        ));
     }
 }
 
--- a/crates/support/examples/quickstart.rs
+++ b/crates/support/examples/quickstart.rs
@@ -13,9 +13,7 @@
 use amaranthshunt_host::Node;
 use amaranthshunt_platform::{HttpClient, StoreClient};
 use amaranthshunt_settings::read_host_file;
-use amaranthshunt_support::{
-    BackendOptions, BackendStandIn, Journal, StoreStandIn, free_address,
-};
+use amaranthshunt_support::{BackendOptions, BackendStandIn, Journal, StoreStandIn, free_address};
 use async_std::task;
 use http_types::{Method, Request, Url};
 
@@ -67,7 +65,10 @@
 async fn lose_owner(cluster: &Cluster) -> Result<(), Failure> {
     let victim = &cluster.backends[0];
     let key = cluster.key_of(&victim.options().name).await?;
-    println!("key {key} is owned by {}; it is lost now", victim.options().name);
+    println!(
+        "key {key} is owned by {}; it is lost now",
+        victim.options().name
+    );
     victim.kill();
     let took = cluster.await_answer(&key).await?;
     println!("key {key} is served again after {took:?}");
@@ -82,7 +83,11 @@
         within(started)?;
         cluster.ask("k7", 0).await?;
     }
-    println!("{} is out after {:?}; requests went on", DOMAINS[0], started.elapsed());
+    println!(
+        "{} is out after {:?}; requests went on",
+        DOMAINS[0],
+        started.elapsed()
+    );
     cluster.order(false).await?;
     let started = Instant::now();
     while cluster.owned_in(DOMAINS[0]).await? < 10 {
@@ -138,7 +143,9 @@
         let prefix = domain.replace('/', "-");
         let record = self.placement().await?;
         let shards = record.shards.iter();
-        Ok(shards.filter(|shard| shard.server.starts_with(&prefix)).count())
+        Ok(shards
+            .filter(|shard| shard.server.starts_with(&prefix))
+            .count())
     }
 
     /// A key that a server owns.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -98,12 +98,14 @@
         Message::CopyKept { sequence } => Body::CopyKept(sequence),
         Message::Handover {
             id,
+            source,
             server,
             control,
             shards,
             ledger,
         } => Body::Handover(proto::Handover {
             id,
+            source: source.0,
             server,
             control: control.map(|token| token.0),
             shards: shards
@@ -242,6 +244,7 @@
 fn read_handover(handover: proto::Handover) -> Result<Message> {
     Ok(Message::Handover {
         id: handover.id,
+        source: Token(handover.source),
         server: handover.server,
         control: handover.control.map(Token),
         shards: handover
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -211,6 +211,8 @@
     pub shards: Vec<Shard>,
     #[prost(message, optional, tag = "5")]
     pub ledger: Option<Ledger>,
+    #[prost(uint64, tag = "6")]
+    pub source: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
