Stragglers lose their shards; work that cannot end in time is refused as not run

Cause: one of six read servers ten times slower for 3 s gave p99 693 ms: its limit fell, its queue grew, and nothing moved its shards. In an overload, orders were given that could not end by the deadline, and ended as unknown. Ruled out: a second server for the same key (sole ownership). Tried and mended: without telling others, hosts moved shards back to the slow server for as long as its host thought it slow (churn 0.77 of the shards); the host now declines such hand-overs. Change: three answers in a row over four times the usual latency make a straggler for 10 s; an order is given only if usual latency fits the deadline.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -141,6 +141,8 @@
     pub answered: Time,
     /// The admission limit.
     pub limiter: Limiter,
+    /// Until when the server is given no shards because it was slow.
+    pub slow_until: Time,
     /// Work that waits for a slot.
     pub queue: Queue<Job>,
     /// Orders that the server has.
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -279,8 +279,10 @@
             return true;
         }
         let control = self.controls.get(&server);
-        let active = control.is_some_and(|control| control.phase == Phase::Active);
-        active && self.is_news(server, offer)
+        let usable = control.is_some_and(|control| {
+            control.phase == Phase::Active && control.slow_until <= self.now
+        });
+        usable && self.view.is_eligible(server) && self.is_news(server, offer)
     }
 
     /// Whether the shards of an offer have not come to their new owner yet, nor been offered by
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -205,6 +205,7 @@
             gained: self.now,
             answered: Time::ZERO,
             limiter: Limiter::new(&limits, self.now),
+            slow_until: Time::ZERO,
             queue: Queue::new(limits.queue as usize),
             running: BTreeMap::new(),
             ghosts: Vec::new(),
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -18,6 +18,8 @@
 
 /// Time within which the hosts of the targets have to take a move.
 const ANSWER: Duration = Duration::from_millis(200);
+/// One of this many servers may be slow at the same time and be treated as slow.
+const SLOW_PART: usize = 3;
 /// Time between two tellings of a provisional assignment.
 const REPEAT: Duration = Duration::from_millis(100);
 
@@ -335,11 +337,13 @@
 
     fn holdings(&self, entry: EntryKey, region: RegionKey) -> BTreeMap<ServerKey, Holding> {
         let mut holdings = BTreeMap::new();
+        let slow = self.slow_servers(entry, region);
         for (server, _) in self.view.members(entry, region) {
             let control = self.controls.get(&server);
             let lost = control.is_some_and(|control| control.phase == Phase::Lost);
             let usable = self.view.is_eligible(server)
                 && !lost
+                && !slow.contains(&server)
                 && !self.avoided.contains_key(&server)
                 && self.view.controller(server).is_some();
             let holding = Holding {
@@ -361,6 +365,23 @@
         holdings
     }
 
+    /// Servers that turned slow, unless so many did that the cause cannot be their own.
+    fn slow_servers(&self, entry: EntryKey, region: RegionKey) -> BTreeSet<ServerKey> {
+        let mut members = 0;
+        let mut slow = BTreeSet::new();
+        for (server, _) in self.view.members(entry, region) {
+            members += 1;
+            let control = self.controls.get(&server);
+            if control.is_some_and(|control| control.slow_until > self.now) {
+                slow.insert(server);
+            }
+        }
+        if slow.len() * SLOW_PART > members {
+            slow.clear();
+        }
+        slow
+    }
+
     fn plan_for(&self, server: ServerKey) -> Plan {
         let Some(info) = self.view.servers.get(server) else {
             return Vec::new();
--- a/crates/core/src/host/service.rs
+++ b/crates/core/src/host/service.rs
@@ -1,5 +1,7 @@
 //! Work for the backend servers under this host's control.
 
+use std::time::Duration;
+
 use super::Host;
 use crate::catalogue::Class;
 use crate::control::{Control, Job, Origin, Phase, Running};
@@ -12,6 +14,9 @@
 use crate::request::{Answer, Doubt, Order, OrderRefusal, OrderResult, Outcome, Refusal, Request};
 use crate::timer::Wake;
 
+/// Time for which a server that turned slow is given no shards.
+const SLOW_SPAN: Duration = Duration::from_secs(10);
+
 /// A request that repeats may join.
 pub(super) type Repeat = (ShardKey, IdempotencyKey);
 
@@ -106,7 +111,7 @@
             let Some(job) = control.queue.pop() else {
                 return;
             };
-            if job.request.deadline <= now {
+            if job.request.deadline <= now + control.limiter.latency() {
                 self.refuse(job, Refusal::Deadline);
                 continue;
             }
@@ -324,6 +329,7 @@
             self.log_limit(server);
         }
         self.note_warm(server);
+        self.note_straggler(server);
         self.quarantine.cleared(running.job.request.fingerprint());
         self.settle(&running.job, RecordState::Answered(answer.clone()));
         self.conclude_all(running.job, &Outcome::Answer(answer));
@@ -379,6 +385,24 @@
         }
     }
 
+    /// Keeps shards away from a server that turned slow, and moves its own ones off.
+    fn note_straggler(&mut self, server: ServerKey) {
+        let now = self.now;
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        if !control.limiter.is_straggling() {
+            return;
+        }
+        let known = control.slow_until > now;
+        control.slow_until = now + SLOW_SPAN;
+        if !known {
+            let name = self.server_name(server);
+            self.log(Code::ServerSlow, name, "");
+            self.plan_moves();
+        }
+    }
+
     fn log_limit(&mut self, server: ServerKey) {
         let name = self.server_name(server);
         self.log(Code::LimitLowered, name, "");
--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -9,6 +9,8 @@
 const AVERAGE_WEIGHT: f64 = 0.05;
 /// Latency over the usual one that counts as a jump.
 const JUMP_FACTOR: f64 = 4.0;
+/// Completions in a row above the jump after which the server counts as a straggler.
+const STRAGGLER_STREAK: u32 = 3;
 /// The part of the gap to the full limit that a round of good completions closes.
 const GROWTH: f64 = 0.5;
 /// Time between two reactions to bad signs.
@@ -28,6 +30,7 @@
     usual_micros: Option<f64>,
     recent_micros: f64,
     reacted: Time,
+    streak: u32,
 }
 
 impl Limiter {
@@ -44,6 +47,7 @@
             usual_micros: None,
             recent_micros: 0.0,
             reacted: Time::ZERO,
+            streak: 0,
         }
     }
 
@@ -64,9 +68,11 @@
         let usual = *self.usual_micros.get_or_insert(micros);
         if micros > usual * JUMP_FACTOR {
             self.usual_micros = Some(usual + (micros - usual) * AVERAGE_WEIGHT * 0.2);
+            self.streak += 1;
             return self.fall_back(now);
         }
         self.usual_micros = Some(usual + (micros - usual) * AVERAGE_WEIGHT);
+        self.streak = 0;
         if now >= self.cold_until {
             self.current = (self.current + GROWTH / self.current).min(self.full);
         }
@@ -90,6 +96,11 @@
         self.cold_until = Time::ZERO;
     }
 
+    /// Whether the server has turned slow, as far as its own answers show.
+    pub fn is_straggling(&self) -> bool {
+        self.streak >= STRAGGLER_STREAK
+    }
+
     /// Whether the limit has reached what the server bears warm.
     pub fn is_full(&self) -> bool {
         self.current >= self.full
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -90,6 +90,8 @@
     ShardsProvisional = 1305, Warn, "shards moved provisionally";
     /// A backend server turned slow or sheds load.
     LimitLowered = 1306, Info, "limit lowered";
+    /// A backend server answers far slower than it used to.
+    ServerSlow = 1307, Warn, "backend server is slow";
     /// The store does not answer.
     StoreSilent = 1401, Error, "object store does not answer";
     /// The store answers again.
--- a/crates/support/examples/measure/scenario.rs
+++ b/crates/support/examples/measure/scenario.rs
@@ -76,7 +76,7 @@
 /// Runs a scenario and measures it.
 pub(crate) async fn run(wanted: Wanted) -> Result<Report, Box<dyn std::error::Error>> {
     let program = std::env::current_exe()?;
-    let mut deployment = Deployment::start(Shape::one_region(), &program).await?;
+    let mut deployment = Deployment::start(shape_for(wanted.scenario), &program).await?;
     task::sleep(Duration::from_secs(2)).await;
     let before = placements(&deployment).await?;
     let cpu_before = deployment.cpu();
@@ -121,6 +121,15 @@
     })
 }
 
+/// The size of the deployment; an overload uses slow servers, so that the machine bears it.
+fn shape_for(scenario: Scenario) -> Shape {
+    let mut shape = Shape::one_region();
+    if scenario == Scenario::Overload {
+        shape.service = Duration::from_millis(40);
+    }
+    shape
+}
+
 fn load_options(deployment: &Deployment, wanted: Wanted) -> LoadOptions {
     let rate = match wanted.scenario {
         Scenario::Overload => capacity(deployment) * 3.0,
@@ -136,6 +145,11 @@
         span: Duration::from_secs_f64(wanted.seconds),
         keys: 40,
         deadline: Duration::from_millis(2_500),
+        sendings: if wanted.scenario == Scenario::Overload {
+            1
+        } else {
+            4
+        },
         seed: wanted.seed,
     }
 }
--- a/crates/support/src/load.rs
+++ b/crates/support/src/load.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use amaranthshunt_platform::HttpClient;
+use amaranthshunt_platform::{HttpClient, PlatformError};
 use async_std::task;
 use hdrhistogram::Histogram;
 use http_types::{Method, Request, Url};
@@ -17,9 +17,6 @@
 
 /// The longest latency that is told apart, in microseconds.
 const LATENCY_LIMIT_MICROS: u64 = 60_000_000;
-/// Sendings of a request by its caller.
-const SENDINGS: u32 = 4;
-
 /// A load.
 #[derive(Clone, Debug)]
 pub struct LoadOptions {
@@ -35,6 +32,8 @@
     pub keys: u32,
     /// Milliseconds that each sending has.
     pub deadline: Duration,
+    /// Sendings of a request by its caller, the first one included.
+    pub sendings: u32,
     /// The seed.
     pub seed: u64,
 }
@@ -55,7 +54,7 @@
 pub struct LoadReport {
     /// Tallies by entry.
     pub entries: BTreeMap<String, Tally>,
-    /// Sendings that got no HTTP answer at all.
+    /// Sendings that reached a host and got no HTTP answer.
     pub cut: u64,
 }
 
@@ -101,7 +100,7 @@
             }
             let wanted = draw(&options, &mut rng);
             let first = rng.random_range(0..options.hosts.len());
-            under_way.push(self.spawn(wanted, options.hosts.clone(), first));
+            under_way.push(self.spawn(wanted, &options, first));
             due += Duration::from_secs_f64(-f64::ln(rng.random_range(1e-9..1.0)) / options.rate);
         }
         for sending in under_way {
@@ -117,14 +116,16 @@
         )
     }
 
-    fn spawn(&self, wanted: Wanted, hosts: Vec<SocketAddr>, first: usize) -> task::JoinHandle<()> {
+    fn spawn(&self, wanted: Wanted, options: &LoadOptions, first: usize) -> task::JoinHandle<()> {
+        let hosts = options.hosts.clone();
+        let sendings = options.sendings;
         let state = self.state.clone();
         let journal = self.journal.clone();
         let http = self.http.clone();
         task::spawn(async move {
             let started = Instant::now();
             let mut outcome = "cut".to_owned();
-            for number in 0..SENDINGS {
+            for number in 0..sendings {
                 let host = hosts[(first + number as usize) % hosts.len()];
                 outcome = send(&http, host, &wanted, number > 0).await;
                 let mut report = state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -228,6 +229,7 @@
     let limit = wanted.deadline + Duration::from_secs(1);
     match http.send(host, request, limit).await {
         Ok(reply) => reply.header("outcome").unwrap_or("cut").to_owned(),
+        Err(PlatformError::Unreachable(_)) => "refused".to_owned(),
         Err(_) => "cut".to_owned(),
     }
 }
