Core: owners that the store does not know stay with the hosts that know them

Change: while such owners are unwritten no control is handed over and the successor is not changed; the write that ends this state comes first. Also: operators' writes are repeated until their effect is known, and tests for wire, settings, commands and processes.

--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -97,7 +97,12 @@
     }
 
     /// Puts control that was handed over into the region's record.
+    ///
+    /// A receiver knows only the owners that the store knows, so it has to wait for the rest.
     pub(super) fn plan_handovers(&self, record: &mut RegionRecord) {
+        if self.has_unwritten_owners() {
+            return;
+        }
         for (server, outgoing) in &self.outgoing {
             if outgoing.step != Step::Taken {
                 continue;
@@ -178,8 +183,13 @@
         self.effects.push(crate::event::Effect::Stopped);
     }
 
+    /// Whether this host knows owners that the store does not know yet.
+    pub(super) fn has_unwritten_owners(&self) -> bool {
+        self.view.provisional().next().is_some()
+    }
+
     fn may_hand_over(&self, server: ServerKey) -> bool {
-        let avoided = self.avoided.contains_key(&server);
+        let avoided = self.avoided.contains_key(&server) || self.has_unwritten_owners();
         self.controls.get(&server).is_some_and(|control| {
             let settled = matches!(control.phase, Phase::Active | Phase::Lost);
             settled && control.moving.is_none() && !avoided
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -311,6 +311,10 @@
             e.insert(host);
         }
         let chosen = self.choose_successor(record);
+        let current = record.hosts.get(&id).and_then(|host| host.successor);
+        if current.is_some() && self.has_unwritten_owners() {
+            return;
+        }
         let now = self.now;
         let Some(host) = record.hosts.get_mut(&id) else {
             return;
--- /dev/null
+++ b/crates/core/tests/core/host.rs
@@ -0,0 +1,216 @@
+//! One host at its interfaces: what it refuses, and what it sends nowhere.
+
+use std::collections::BTreeMap;
+
+use amaranthshunt_core::catalogue::{Class, Entry, Limits, Server};
+use amaranthshunt_core::event::{StoreCall, StoreResult};
+use amaranthshunt_core::ids::{CallId, Revision};
+use amaranthshunt_core::object::{Object, ObjectKey};
+use amaranthshunt_core::trace::{Step, Trace};
+use amaranthshunt_core::{
+    Effect, Event, Host, HostId, HostSettings, Outcome, Refusal, Request, RequestId, Time, Timing,
+};
+use bytes::Bytes;
+use yare::parameterized;
+
+fn start() -> Time {
+    Time::from_millis(1_700_000_000_000)
+}
+
+fn settings() -> HostSettings {
+    HostSettings {
+        id: HostId(1),
+        name: "h0".to_owned(),
+        domain: "este/e1".parse().unwrap(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        seeds: Vec::new(),
+        timing: Timing::default(),
+    }
+}
+
+fn entry(name: &str, class: Class) -> Entry {
+    let tenants = BTreeMap::from([("far".to_owned(), vec!["norte".to_owned()])]);
+    Entry {
+        name: name.to_owned(),
+        owner: "owner".to_owned(),
+        class,
+        regions: vec!["este".to_owned(), "norte".to_owned()],
+        tenants,
+        shards: 4,
+        limits: Limits {
+            slots: 2,
+            cold_slots: 1,
+            warm_up: 10,
+            connections: 10,
+            queue: 4,
+            body: 8,
+        },
+        servers: vec![Server {
+            name: format!("{name}-0"),
+            domain: "este/e1".parse().unwrap(),
+            address: "127.0.0.1:9100".parse().unwrap(),
+            checks: true,
+        }],
+    }
+}
+
+fn object(revision: u64, entry: &Entry) -> Object {
+    Object {
+        key: ObjectKey::entry(&entry.name),
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(entry).unwrap().into()),
+    }
+}
+
+fn watch_of(effects: &[Effect]) -> CallId {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::Store {
+            call,
+            call_kind: StoreCall::Watch { .. },
+        } => Some(*call),
+        _ => None,
+    });
+    found.expect("a fresh host watches the store")
+}
+
+/// A host that has read a catalogue, and what it was told so far.
+fn informed() -> (Host, Vec<Step>) {
+    let mut host = Host::new(settings(), 1, start());
+    let mut steps = vec![Step {
+        at: start(),
+        event: Event::Tick,
+    }];
+    let call = watch_of(&host.handle(start(), Event::Tick));
+    let objects = vec![
+        object(1, &entry("catalogue", Class::Read)),
+        object(2, &entry("billing", Class::Payment)),
+    ];
+    let changes = Event::Store {
+        call,
+        result: StoreResult::Changes {
+            objects,
+            complete: Revision(2),
+        },
+    };
+    host.handle(start(), changes.clone());
+    steps.push(Step {
+        at: start(),
+        event: changes,
+    });
+    (host, steps)
+}
+
+fn request(entry: &str, tenant: &str, body: &'static [u8]) -> Request {
+    Request {
+        entry: entry.to_owned(),
+        tenant: tenant.to_owned(),
+        key: "k".to_owned(),
+        idempotency: None,
+        repeat: false,
+        deadline: start() + std::time::Duration::from_secs(1),
+        body: Bytes::from_static(body),
+    }
+}
+
+fn outcome_of(effects: &[Effect]) -> Option<Outcome> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Respond { outcome, .. } => Some(outcome.clone()),
+        _ => None,
+    })
+}
+
+#[parameterized(
+    unknown_entry = { request("nothing", "", b""), Refusal::UnknownEntry },
+    wrong_region = { request("catalogue", "far", b""), Refusal::WrongRegion },
+    too_large = { request("catalogue", "", b"nine bytes"), Refusal::TooLarge },
+    key_missing = { request("billing", "", b""), Refusal::KeyMissing },
+    past_deadline = { Request { deadline: Time::ZERO, ..request("catalogue", "", b"") }, Refusal::Deadline },
+)]
+fn a_bad_request_gets_its_own_refusal(request: Request, expected: Refusal) {
+    let (mut host, _) = informed();
+    let id = RequestId(1);
+    let effects = host.handle(start(), Event::Request { id, request });
+    assert_eq!(outcome_of(&effects), Some(Outcome::NotRun(expected)));
+}
+
+#[test]
+fn nothing_of_a_request_for_another_region_leaves_the_host() {
+    let (mut host, _) = informed();
+    let request = request("catalogue", "far", b"secret");
+    let id = RequestId(1);
+    let effects = host.handle(start(), Event::Request { id, request });
+    assert_eq!(effects.len(), 1, "only the refusal: {effects:?}");
+    assert_eq!(host.home_regions("catalogue", "far"), ["norte"]);
+}
+
+#[test]
+fn a_request_that_nobody_serves_ends_as_not_run_at_its_deadline() {
+    let (mut host, _) = informed();
+    let id = RequestId(1);
+    let request = request("catalogue", "", b"");
+    let deadline = request.deadline;
+    host.handle(start(), Event::Request { id, request });
+    let effects = host.handle(deadline, Event::Tick);
+    assert_eq!(
+        outcome_of(&effects),
+        Some(Outcome::NotRun(Refusal::Unavailable))
+    );
+}
+
+#[test]
+fn an_older_object_never_replaces_a_newer_one() {
+    let (mut host, _) = informed();
+    let mut older = entry("catalogue", Class::Read);
+    older.owner = "somebody else".to_owned();
+    let delta = amaranthshunt_core::Message::Delta {
+        objects: vec![object(1, &older)],
+        complete: Revision(1),
+    };
+    let from = HostId(9);
+    host.handle(
+        start(),
+        Event::Peer {
+            from,
+            message: delta,
+        },
+    );
+    let key = host.view().entries.find("catalogue").unwrap();
+    assert_eq!(host.view().entries.get(key).unwrap().owner, "owner");
+    assert_eq!(host.view().revision(), Revision(2));
+}
+
+#[test]
+fn a_trace_replays_to_the_same_effects_and_outcomes() {
+    let (mut host, mut steps) = informed();
+    let mut outcomes = Vec::new();
+    let mut recorded = Vec::new();
+    for number in 0..50 {
+        let at = start() + std::time::Duration::from_millis(40 * number);
+        let event = if number % 3 == 0 {
+            let mut request = request("catalogue", "", b"");
+            request.deadline = at + std::time::Duration::from_millis(100);
+            Event::Request {
+                id: RequestId(number),
+                request,
+            }
+        } else {
+            Event::Tick
+        };
+        let effects = host.handle(at, event.clone());
+        outcomes.extend(Trace::outcomes_of(std::slice::from_ref(&effects)));
+        recorded.push(effects);
+        steps.push(Step { at, event });
+    }
+    let trace = Trace {
+        settings: settings(),
+        seed: 1,
+        started: start(),
+        steps,
+        outcomes,
+    };
+    let text = serde_json::to_string(&trace).unwrap();
+    let read: Trace = serde_json::from_str(&text).unwrap();
+    let replayed = read.replay();
+    assert_eq!(replayed[2..], recorded);
+    assert_eq!(Trace::outcomes_of(&replayed), read.outcomes);
+}
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the core: focused ones by feature, and long randomised runs over small fakes.
 
 mod fleet;
+mod host;
+mod pages;
 mod random;
+mod units;
--- /dev/null
+++ b/crates/core/tests/core/pages.rs
@@ -0,0 +1,24 @@
+//! Pages that have to match the code.
+
+use amaranthshunt_core::log::Code;
+
+#[test]
+fn the_event_catalogue_has_every_code() {
+    let page = std::fs::read_to_string("../../docs/events.md").unwrap();
+    for code in Code::ALL {
+        let row = format!(
+            "| E{} | {:?} | {} |",
+            code.number(),
+            code.level(),
+            code.text()
+        );
+        assert!(page.contains(&row), "docs/events.md lacks: {row}");
+    }
+}
+
+#[test]
+fn event_numbers_are_used_once() {
+    let mut numbers: Vec<u16> = Code::ALL.iter().map(|code| code.number()).collect();
+    numbers.dedup();
+    assert_eq!(numbers.len(), Code::ALL.len());
+}
--- /dev/null
+++ b/crates/core/tests/core/units.rs
@@ -0,0 +1,242 @@
+//! Focused tests of the parts that need no fleet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use amaranthshunt_core::balance::{Holding, plan, spread};
+use amaranthshunt_core::catalogue::{Class, Limits};
+use amaranthshunt_core::ids::{
+    EntryKey, Epoch, HostId, IdempotencyKey, RegionKey, ServerKey, ShardKey, Token,
+};
+use amaranthshunt_core::ledger::{Ledger, Record, RecordState, Tenure, Verdict};
+use amaranthshunt_core::limiter::Limiter;
+use amaranthshunt_core::quarantine::Quarantine;
+use amaranthshunt_core::queue::Queue;
+use amaranthshunt_core::validity::{Validity, Ward};
+use amaranthshunt_core::{Answer, Doubt, Refusal, Time, Timing};
+use bytes::Bytes;
+use yare::parameterized;
+
+const SHARD: ShardKey = ShardKey {
+    entry: EntryKey(0),
+    region: RegionKey(0),
+    index: 3,
+};
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(1_000_000 + millis)
+}
+
+fn key_created(time: Time) -> IdempotencyKey {
+    let builder = uuid::Builder::from_unix_timestamp_millis(time.as_millis(), &[7; 10]);
+    IdempotencyKey(builder.into_uuid())
+}
+
+fn limits() -> Limits {
+    Limits {
+        slots: 4,
+        cold_slots: 1,
+        warm_up: 100,
+        connections: 10,
+        queue: 2,
+        body: 100,
+    }
+}
+
+fn holdings(counts: &[(u32, usize, f64)]) -> BTreeMap<ServerKey, Holding> {
+    let held = counts.iter().map(|(server, shards, weight)| {
+        let holding = Holding {
+            shards: *shards,
+            weight: *weight,
+        };
+        (ServerKey(*server), holding)
+    });
+    held.collect()
+}
+
+#[test]
+fn validity_counts_from_the_question_not_from_the_answer() {
+    let mut validity = Validity::default();
+    validity.confirm_by_promise(at(0));
+    assert_eq!(validity.until(Duration::from_millis(400)), at(400));
+}
+
+#[test]
+fn no_promise_is_given_once_a_takeover_began() {
+    let mut ward = Ward::new(HostId(1), 5, at(0), Duration::from_millis(400));
+    assert!(ward.promise(5, at(500)));
+    ward.close();
+    assert!(!ward.promise(5, at(510)));
+}
+
+#[test]
+fn no_promise_is_given_for_another_term() {
+    let mut ward = Ward::new(HostId(1), 5, at(0), Duration::from_millis(400));
+    assert!(!ward.promise(4, at(10)));
+}
+
+#[test]
+fn a_new_ward_counts_promises_of_the_last_successor() {
+    let ward = Ward::new(HostId(1), 5, at(0), Duration::from_millis(400));
+    assert_eq!(ward.promised(), at(400));
+}
+
+#[test]
+fn default_timing_meets_the_recovery_target() {
+    assert_eq!(Timing::default().clashes(), Vec::<String>::new());
+}
+
+#[parameterized(
+    slow_heartbeat = { Timing { heartbeat: Duration::from_millis(200), ..Timing::default() } },
+    long_lease = { Timing { lease: Duration::from_millis(900), ..Timing::default() } },
+    short_validity = { Timing { validity: Duration::from_millis(100), ..Timing::default() } },
+    wide_skew = { Timing { skew: Duration::from_millis(150), ..Timing::default() } },
+)]
+fn timing_that_clashes_is_named(timing: Timing) {
+    assert!(!timing.clashes().is_empty());
+}
+
+#[test]
+fn an_empty_ledger_calls_old_keys_doubtful_and_new_ones_fresh() {
+    let mut ledger = Ledger::default();
+    ledger.open(SHARD, at(1_000));
+    let old = ledger.verdict(SHARD, key_created(at(999)), 1, at(0));
+    let new = ledger.verdict(SHARD, key_created(at(1_001)), 1, at(0));
+    assert_eq!(old, Verdict::Doubtful(Doubt::Forgotten));
+    assert_eq!(new, Verdict::Fresh);
+}
+
+#[test]
+fn a_repeat_gets_the_kept_answer_and_another_request_none() {
+    let answer = Answer {
+        status: 200,
+        body: Bytes::from_static(b"done"),
+    };
+    let key = key_created(at(2_000));
+    let mut ledger = Ledger::default();
+    ledger.open(SHARD, at(0));
+    let record = Record {
+        fingerprint: 7,
+        state: RecordState::Answered(answer.clone()),
+    };
+    ledger.set(SHARD, key, record);
+    let same = ledger.verdict(SHARD, key, 7, at(0));
+    let other = ledger.verdict(SHARD, key, 8, at(0));
+    assert_eq!(same, Verdict::Answered(answer));
+    assert_eq!(other, Verdict::Refused(Refusal::KeyReused));
+}
+
+#[test]
+fn work_under_way_at_a_lost_host_is_doubtful() {
+    let key = key_created(at(2_000));
+    let mut ledger = Ledger::default();
+    ledger.open(SHARD, at(0));
+    let record = Record {
+        fingerprint: 7,
+        state: RecordState::Started,
+    };
+    ledger.set(SHARD, key, record);
+    ledger.abandon(SHARD, Doubt::HostLost);
+    let verdict = ledger.verdict(SHARD, key, 7, at(0));
+    assert_eq!(verdict, Verdict::Doubtful(Doubt::HostLost));
+}
+
+#[test]
+fn each_tenure_of_a_shard_is_a_new_one_once() {
+    let tenure = Tenure {
+        epoch: Epoch(2),
+        token: Token(4),
+    };
+    let mut ledger = Ledger::default();
+    ledger.open(SHARD, at(0));
+    assert!(ledger.enter(SHARD, tenure));
+    assert!(!ledger.enter(SHARD, tenure));
+}
+
+#[test]
+fn a_cold_server_stays_at_its_cold_limit_for_the_warm_up() {
+    let mut limiter = Limiter::new(&limits(), at(0));
+    for millis in 0..100 {
+        limiter.completed(at(millis), Duration::from_millis(5));
+        assert_eq!(limiter.limit(), 1);
+    }
+    for millis in 100..140 {
+        limiter.completed(at(millis), Duration::from_millis(5));
+    }
+    assert_eq!(limiter.limit(), 4);
+}
+
+#[test]
+fn the_limit_falls_back_at_once_on_a_latency_jump() {
+    let mut limiter = Limiter::new(&limits(), at(0));
+    for millis in 100..160 {
+        limiter.completed(at(millis), Duration::from_millis(5));
+    }
+    let fell = limiter.completed(at(500), Duration::from_millis(50));
+    assert!(fell);
+    assert_eq!(limiter.limit(), 1);
+}
+
+#[test]
+fn three_slow_answers_in_a_row_make_a_straggler() {
+    let mut limiter = Limiter::new(&limits(), at(0));
+    limiter.completed(at(100), Duration::from_millis(5));
+    for millis in 200..202 {
+        limiter.completed(at(millis), Duration::from_millis(50));
+    }
+    assert!(!limiter.is_straggling());
+    limiter.completed(at(203), Duration::from_millis(50));
+    assert!(limiter.is_straggling());
+}
+
+#[test]
+fn a_full_queue_gives_up_its_lowest_class() {
+    let mut queue = Queue::new(2);
+    queue.push(Class::Read, at(9), "read");
+    queue.push(Class::Payment, at(9), "payment");
+    let dropped = queue.push(Class::Confirm, at(9), "confirm");
+    assert_eq!(dropped, Some("read"));
+    assert_eq!(queue.pop(), Some("payment"));
+}
+
+#[test]
+fn a_request_is_refused_after_two_crashes_and_for_a_while() {
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(7, at(0));
+    assert!(!quarantine.refuses(7));
+    quarantine.crashed(7, at(10));
+    assert!(quarantine.refuses(7));
+    quarantine.expire(at(70_010), Duration::from_secs(60));
+    assert!(!quarantine.refuses(7));
+}
+
+#[test]
+fn a_server_without_weight_loses_every_shard() {
+    let counts = holdings(&[(1, 6, 0.0), (2, 6, 1.0), (3, 6, 1.0)]);
+    let moves = plan(ServerKey(1), 0..6, &counts);
+    let to_second = moves.iter().filter(|(_, to)| *to == ServerKey(2)).count();
+    assert_eq!((moves.len(), to_second), (6, 3));
+}
+
+#[test]
+fn a_small_difference_moves_nothing() {
+    let counts = holdings(&[(1, 7, 1.0), (2, 6, 1.0), (3, 6, 1.0)]);
+    assert!(plan(ServerKey(1), 0..7, &counts).is_empty());
+}
+
+#[test]
+fn nothing_moves_when_no_server_may_take_it() {
+    let counts = holdings(&[(1, 7, 0.0), (2, 0, 0.0)]);
+    assert!(plan(ServerKey(1), 0..7, &counts).is_empty());
+}
+
+#[test]
+fn a_new_entry_is_spread_by_weight() {
+    let counts = holdings(&[(1, 0, 1.0), (2, 0, 3.0)]);
+    let owners = spread(8, &counts);
+    let second = owners
+        .iter()
+        .filter(|owner| **owner == ServerKey(2))
+        .count();
+    assert_eq!(second, 6);
+}
--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -7,6 +7,8 @@
 use serde_json::Value;
 use uuid::Uuid;
 
+use crate::write::write;
+
 /// One change on the audit trail.
 ///
 /// Hosts write lines of their own with the same fields where they fit.
@@ -47,7 +49,8 @@
     /// Writes the record before the change, so that no change goes without one.
     pub(crate) async fn open(store: &StoreClient, record: AuditRecord) -> Result<Self> {
         let key = ObjectKey::audit(Uuid::now_v7());
-        let revision = store.put(&key, Revision(0), json(&record)?).await?;
+        let value = json(&record)?;
+        let revision = write(store, &key, Revision(0), Some(&value)).await?;
         Ok(Self {
             key,
             revision,
@@ -59,7 +62,7 @@
     pub(crate) async fn confirm(mut self, store: &StoreClient, change: Revision) -> Result<()> {
         self.record.revision = Some(change.0);
         let value = json(&self.record)?;
-        store.put(&self.key, self.revision, value).await?;
+        write(store, &self.key, self.revision, Some(&value)).await?;
         Ok(())
     }
 }
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -13,9 +13,7 @@
 use serde_json::Value;
 
 use crate::audit::{AuditRecord, Intent};
-
-/// Sendings of a write that got no answer.
-const SENDINGS: u32 = 5;
+use crate::write::write;
 
 /// A value that is to replace what an operator has seen.
 struct Change<'a> {
@@ -127,41 +125,24 @@
         Ok(revision)
     }
 
-    /// Sends the write until its effect is known.
-    ///
-    /// After a lost answer the same conditional write is sent again; a conflict then means that
-    /// the first one took effect, if the object holds the new value.
     async fn write(&self, store: &StoreClient) -> Result<Revision> {
-        for _ in 0..SENDINGS {
-            match self.send(store).await {
-                Ok(revision) => return Ok(revision),
-                Err(PlatformError::Conflict) => return self.resolve(store).await,
-                Err(PlatformError::Lost(_)) => {}
-                Err(error) => return Err(error).into_diagnostic(),
-            }
-        }
-        Err(miette!(
-            "the store gave no answer; the change may have taken effect: see `amaranthctl audit`"
-        ))
-    }
-
-    async fn send(&self, store: &StoreClient) -> amaranthshunt_platform::Result<Revision> {
-        let expected = self.before.revision;
-        match &self.after {
-            Some(value) => store.put(&self.key, expected, value.clone()).await,
-            None => store.delete(&self.key, expected).await,
+        let value = self.after.as_ref();
+        match write(store, &self.key, self.before.revision, value).await {
+            Ok(revision) => Ok(revision),
+            Err(PlatformError::Conflict) => self.report_race(store).await,
+            Err(error) => Err(error).into_diagnostic().wrap_err(
+                "the store gave no answer; the change may have taken effect: \
+                 see `amaranthctl status`",
+            ),
         }
     }
 
-    async fn resolve(&self, store: &StoreClient) -> Result<Revision> {
+    async fn report_race(&self, store: &StoreClient) -> Result<Revision> {
         let found = read(store, &self.key).await?;
-        if found.value == self.after && found.revision > self.before.revision {
-            return Ok(found.revision);
-        }
         let current = json_of(found.value.as_ref()).unwrap_or_default();
         Err(miette!(
-            help = "look at what changed and give the command again",
-            "somebody else changed {} first; nothing was written. It now reads {current}",
+            help = format!("it now reads {current}; give the command again if still wanted"),
+            "somebody else changed {} first; nothing was written",
             self.subject
         ))
     }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod change;
 mod command;
 mod status;
+mod write;
 
 pub use audit::AuditRecord;
 pub use command::run;
--- /dev/null
+++ b/crates/ctl/tests/commands.rs
@@ -0,0 +1,164 @@
+//! Operators' commands against the store stand-in.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use amaranthshunt_support::{StoreStandIn, free_address};
+use async_std::task;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_amaranthctl");
+
+const ENTRY: &str = r#"
+name = "billing"
+owner = "vidrial"
+class = "payment"
+regions = ["este"]
+shards = 16
+[limits]
+slots = 4
+connections = 110
+"#;
+
+fn store() -> StoreStandIn {
+    task::block_on(StoreStandIn::start(free_address())).unwrap()
+}
+
+fn ctl(store: &StoreStandIn, operator: &str, words: &[&str]) -> Output {
+    let address = store.address().to_string();
+    Command::new(PROGRAM)
+        .args(["--store", &address, "--operator", operator])
+        .args(words)
+        .output()
+        .unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("amaranthctl-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn an_entry_is_applied_listed_audited_and_removed() {
+    let store = store();
+    let path = file("good.toml", ENTRY);
+    let applied = ctl(&store, "ana", &["entry", "apply", path.to_str().unwrap()]);
+    assert!(applied.status.success(), "{}", stderr(&applied));
+    let listed = ctl(&store, "ana", &["entry", "list"]);
+    assert!(stdout(&listed).contains("billing Payment of vidrial"));
+    let removed = ctl(&store, "bea", &["entry", "remove", "billing"]);
+    assert!(removed.status.success(), "{}", stderr(&removed));
+    let trail = stdout(&ctl(&store, "ana", &["audit"]));
+    let lines: Vec<&str> = trail.lines().collect();
+    assert_eq!(lines.len(), 2, "{trail}");
+    assert!(lines[0].contains("\"actor\":\"ana\"") && lines[0].contains("entry-apply"));
+    assert!(lines[1].contains("\"actor\":\"bea\"") && lines[1].contains("\"after\":null"));
+    std::fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn a_bad_entry_changes_nothing() {
+    let store = store();
+    let path = file("bad.toml", &ENTRY.replace("slots = 4", "slots = 0"));
+    let applied = ctl(&store, "ana", &["entry", "apply", path.to_str().unwrap()]);
+    assert_eq!(applied.status.code(), Some(1));
+    assert!(
+        stderr(&applied).contains("must be at least 1"),
+        "{}",
+        stderr(&applied)
+    );
+    assert_eq!(stdout(&ctl(&store, "ana", &["entry", "list"])).trim(), "");
+    std::fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn shards_of_a_live_entry_cannot_change() {
+    let store = store();
+    let first = file("first.toml", ENTRY);
+    let second = file("second.toml", &ENTRY.replace("shards = 16", "shards = 32"));
+    ctl(&store, "ana", &["entry", "apply", first.to_str().unwrap()]);
+    let applied = ctl(&store, "ana", &["entry", "apply", second.to_str().unwrap()]);
+    assert_eq!(applied.status.code(), Some(1));
+    assert!(
+        stderr(&applied).contains("cannot change"),
+        "{}",
+        stderr(&applied)
+    );
+    std::fs::remove_file(first).unwrap();
+    std::fs::remove_file(second).unwrap();
+}
+
+#[test]
+fn of_racing_operators_each_change_is_whole() {
+    let store = store();
+    let address = store.address().to_string();
+    let orders: Vec<_> = (0..8)
+        .map(|number| {
+            let verb = if number % 2 == 0 { "out" } else { "return" };
+            let operator = format!("op{number}");
+            Command::new(PROGRAM)
+                .args(["--store", &address, "--operator", &operator])
+                .args(["domain", verb, "este/e1"])
+                .stderr(std::process::Stdio::piped())
+                .stdout(std::process::Stdio::null())
+                .spawn()
+                .unwrap()
+        })
+        .collect();
+    let mut won = 0;
+    for order in orders {
+        let output = order.wait_with_output().unwrap();
+        if output.status.success() {
+            won += 1;
+        } else {
+            let text = stderr(&output);
+            assert!(text.contains("somebody else changed"), "{text}");
+            assert!(text.contains("it now reads"), "{text}");
+        }
+    }
+    assert!(won >= 1);
+    let trail = stdout(&ctl(&store, "ana", &["audit"]));
+    let confirmed = trail
+        .lines()
+        .filter(|line| !line.contains("\"revision\":null"));
+    assert_eq!(confirmed.count(), won);
+}
+
+#[test]
+fn a_lost_reply_is_resolved_by_reading_back() {
+    let store = store();
+    store.set_lossy(true);
+    let done = ctl(&store, "ana", &["server", "out", "s1"]);
+    store.set_lossy(false);
+    assert!(done.status.success(), "{}", stderr(&done));
+    assert!(stdout(&ctl(&store, "ana", &["status"])).contains("server s1 is out"));
+}
+
+#[test]
+fn wrong_command_lines_exit_with_two() {
+    for words in [
+        &["dance"][..],
+        &["--store", "nowhere", "status"],
+        &["--bogus"],
+    ] {
+        let output = Command::new(PROGRAM).args(words).output().unwrap();
+        assert_eq!(output.status.code(), Some(2), "{words:?}");
+    }
+}
+
+#[test]
+fn help_and_version_are_there() {
+    for flag in ["--help", "--version"] {
+        let output = Command::new(PROGRAM).arg(flag).output().unwrap();
+        assert!(output.status.success());
+        assert!(stdout(&output).contains("amaranthctl"));
+    }
+}
--- /dev/null
+++ b/crates/host/tests/processes.rs
@@ -0,0 +1,150 @@
+//! Real processes: a request from end to end, lost and paused hosts, an orderly stop.
+
+use std::path::Path;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use amaranthshunt_support::{Deployment, Load, LoadOptions, LoadReport, Shape};
+use async_std::task;
+
+/// Deployments run one after another, so that they do not slow each other down.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_amaranthshunt");
+
+fn load(deployment: &Deployment, seconds: u64) -> LoadOptions {
+    LoadOptions {
+        hosts: deployment.callers(),
+        entries: vec![
+            ("catalogue".to_owned(), false, 1),
+            ("confirmation".to_owned(), true, 1),
+        ],
+        rate: 120.0,
+        span: Duration::from_secs(seconds),
+        keys: 40,
+        deadline: Duration::from_millis(2_500),
+        sendings: 4,
+        seed: 7,
+    }
+}
+
+fn run(disturb: impl AsyncFnOnce(&mut Deployment)) -> (LoadReport, u64, u64, u64) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let mut deployment = Deployment::start(Shape::one_region(), Path::new(PROGRAM))
+            .await
+            .unwrap();
+        task::sleep(Duration::from_secs(1)).await;
+        let sending = task::spawn(Load::new(deployment.journal.clone()).run(load(&deployment, 4)));
+        task::sleep(Duration::from_secs(1)).await;
+        disturb(&mut deployment).await;
+        let report = sending.await;
+        let journal = &deployment.journal;
+        (
+            report,
+            journal.double_runs(),
+            journal.double_owners(),
+            journal.overruns(),
+        )
+    })
+}
+
+fn assert_promises(run: &(LoadReport, u64, u64, u64)) {
+    let (report, double_runs, double_owners, overruns) = run;
+    assert_eq!((*double_runs, *double_owners, *overruns), (0, 0, 0));
+    let false_refusals: u64 = report
+        .entries
+        .values()
+        .map(|tally| tally.false_refusals)
+        .sum();
+    assert_eq!(false_refusals, 0);
+}
+
+#[test]
+fn requests_are_served_from_end_to_end() {
+    let run = run(async |_| {});
+    assert_promises(&run);
+    assert_eq!(run.0.count("answer"), run.0.latency().len());
+    assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
+}
+
+#[test]
+fn keys_of_a_lost_server_are_served_again() {
+    let run = run(async |deployment| deployment.backends[0].kill());
+    assert_promises(&run);
+    assert_eq!(run.0.count("not-run"), 0);
+}
+
+#[test]
+fn keys_of_a_lost_host_are_served_again() {
+    let run = run(async |deployment| deployment.kill_host(0));
+    assert_promises(&run);
+    assert_eq!(run.0.count("not-run"), 0);
+}
+
+#[test]
+fn a_host_that_was_paused_longer_than_its_validity_runs_nothing_twice() {
+    let run = run(async |deployment| {
+        deployment.pause_host(0, true);
+        task::sleep(Duration::from_millis(1_500)).await;
+        deployment.pause_host(0, false);
+    });
+    assert_promises(&run);
+}
+
+#[test]
+fn a_store_outage_stops_nobody() {
+    let run = run(async |deployment| {
+        deployment.store.set_down(true);
+        task::sleep(Duration::from_secs(2)).await;
+        deployment.store.set_down(false);
+    });
+    assert_promises(&run);
+    assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
+}
+
+#[test]
+fn lost_store_replies_change_nothing() {
+    let run = run(async |deployment| {
+        deployment.store.set_lossy(true);
+        deployment.backends[0].kill();
+        task::sleep(Duration::from_secs(2)).await;
+        deployment.store.set_lossy(false);
+    });
+    assert_promises(&run);
+    assert_eq!(run.0.count("not-run"), 0);
+}
+
+#[test]
+fn an_orderly_stop_cuts_no_request() {
+    let run = run(async |deployment| {
+        deployment.stop_host(0);
+        for _ in 0..200 {
+            if deployment.has_ended(0) {
+                return;
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the host did not end");
+    });
+    assert_promises(&run);
+    assert_eq!(run.0.cut, 0);
+    assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
+}
+
+#[test]
+fn bad_settings_start_nothing_and_name_everything() {
+    let folder = std::env::temp_dir();
+    let path = folder.join(format!("amaranthshunt-bad-{}.toml", std::process::id()));
+    std::fs::write(&path, "name = 1\ncolour = \"red\"\n").unwrap();
+    let output = std::process::Command::new(PROGRAM)
+        .args(["--settings", path.to_str().unwrap()])
+        .output()
+        .unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text.contains("`colour` is no known field"), "{text}");
+    assert!(text.contains("`name` must be a text"), "{text}");
+}
