--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -191,7 +191,7 @@
 
     /// Whether the host knows enough to serve requests.
     pub fn is_ready(&self) -> bool {
-        !self.leaving && self.view.revision().0 > 0 && self.is_valid()
+        !self.leaving && self.view.is_read() && self.is_valid()
     }
 
     /// Whether an orderly stop has begun.
--- a/crates/core/src/host/entrance.rs
+++ b/crates/core/src/host/entrance.rs
@@ -34,7 +34,7 @@
     /// The home regions come first, so that nothing of a request is read where it may not be.
     pub fn check_head(&self, entry: &str, tenant: &str, length: usize) -> Option<Refusal> {
         let Some(entry) = self.entry(entry) else {
-            if self.view.revision().0 == 0 {
+            if !self.view.is_read() {
                 return Some(Refusal::Unavailable);
             }
             return Some(Refusal::UnknownEntry);
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -347,21 +347,11 @@
                 && !self.avoided.contains_key(&server)
                 && self.view.controller(server).is_some();
             let holding = Holding {
-                shards: 0,
+                shards: self.view.owned_count(server),
                 weight: if usable { 1.0 } else { 0.0 },
             };
             holdings.insert(server, holding);
         }
-        let count = self
-            .view
-            .placement(entry, region)
-            .map_or(0, |placement| placement.owners.len() as u32);
-        for index in 0..count {
-            let owner = self.view.owner(self.shard(entry, region, index));
-            if let Some(held) = owner.and_then(|owner| holdings.get_mut(&owner.server)) {
-                held.shards += 1;
-            }
-        }
         holdings
     }
 
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -208,11 +208,15 @@
 
     /// Takes in configuration from the store or another host.
     pub(super) fn learn(&mut self, objects: &[Object], complete: Option<Revision>) {
+        let first = !self.view.is_read();
         let changed = self.view.apply(objects, complete);
         for key in self.view.take_unreadable() {
             self.log(Code::ObjectUnreadable, key.to_string(), "");
         }
         if changed.is_empty() {
+            if first && self.view.is_read() {
+                self.sync_membership();
+            }
             return;
         }
         self.note_orders();
@@ -307,11 +311,7 @@
         self.storage.watch = None;
         match result {
             StoreResult::Changes { objects, complete } => {
-                let first = self.view.revision() == Revision(0);
                 self.learn(&objects, Some(complete));
-                if first {
-                    self.sync_membership();
-                }
             }
             _ => self.storage.watch_after = self.now + RETRY,
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -69,6 +69,8 @@
     records: BTreeMap<RegionKey, Versioned<RegionRecord>>,
     placements: HashMap<(EntryKey, RegionKey), Placement>,
     provisional: BTreeMap<ShardKey, Owner>,
+    owned: BTreeMap<ServerKey, BTreeMap<u32, Epoch>>,
+    read: bool,
     orders: BTreeSet<Subject>,
     unreadable: Vec<ObjectKey>,
 }
@@ -83,6 +85,7 @@
     ///
     /// Returns the keys whose value changed.
     pub fn apply(&mut self, objects: &[Object], complete: Option<Revision>) -> Vec<ObjectKey> {
+        self.read |= complete.is_some();
         let mut changed = Vec::new();
         for object in objects {
             if self.apply_one(object) {
@@ -95,6 +98,11 @@
         changed
     }
 
+    /// Whether the configuration was ever read, be it empty.
+    pub fn is_read(&self) -> bool {
+        self.read
+    }
+
     /// The objects written after a revision.
     pub fn newer_than(&self, revision: Revision) -> Vec<Object> {
         self.objects
@@ -195,23 +203,12 @@
 
     /// The shards that a backend server owns, with their epochs.
     pub fn owned_by(&self, server: ServerKey) -> BTreeMap<u32, Epoch> {
-        let Some(info) = self.servers.get(server) else {
-            return BTreeMap::new();
-        };
-        let count = self
-            .placement(info.entry, info.region)
-            .map_or(0, |placement| placement.owners.len() as u32);
-        (0..count)
-            .filter_map(|index| {
-                let shard = ShardKey {
-                    entry: info.entry,
-                    region: info.region,
-                    index,
-                };
-                let owner = self.owner(shard)?;
-                (owner.server == server).then_some((index, owner.epoch))
-            })
-            .collect()
+        self.owned.get(&server).cloned().unwrap_or_default()
+    }
+
+    /// How many shards a backend server owns.
+    pub fn owned_count(&self, server: ServerKey) -> usize {
+        self.owned.get(&server).map_or(0, BTreeMap::len)
     }
 
     /// Records an owner that the store does not know yet.
@@ -219,6 +216,7 @@
         let known = self.owner(shard).map_or(Epoch(0), |kept| kept.epoch);
         if owner.epoch > known {
             self.provisional.insert(shard, owner);
+            self.index_owners(shard.entry, shard.region);
         }
     }
 
@@ -269,9 +267,11 @@
         for server in gone {
             self.servers.set(server, None);
         }
+        let mut places = BTreeSet::new();
         for spec in parsed.iter().flat_map(|entry| &entry.servers) {
             let region = self.regions.intern(spec.domain.region());
             let server = self.servers.intern(&spec.name);
+            places.insert((key, region));
             let info = ServerInfo {
                 entry: key,
                 region,
@@ -280,6 +280,9 @@
             self.servers.set(server, Some(info));
         }
         self.entries.set(key, parsed);
+        for (entry, region) in places {
+            self.index_owners(entry, region);
+        }
         true
     }
 
@@ -302,6 +305,7 @@
         let region = self.regions.intern(region);
         if object.value.is_none() {
             self.placements.remove(&(entry, region));
+            self.index_owners(entry, region);
             return true;
         }
         let Some(record) = parse::<PlacementRecord>(object) else {
@@ -327,9 +331,32 @@
             owners,
         };
         self.placements.insert((entry, region), placement);
+        self.index_owners(entry, region);
         true
     }
 
+    /// Brings the shards by server up to date for one placement.
+    fn index_owners(&mut self, entry: EntryKey, region: RegionKey) {
+        let members: Vec<ServerKey> = self.members(entry, region).map(|(key, _)| key).collect();
+        for server in members {
+            self.owned.remove(&server);
+        }
+        let count = self
+            .placement(entry, region)
+            .map_or(0, |placement| placement.owners.len() as u32);
+        for index in 0..count {
+            let shard = ShardKey {
+                entry,
+                region,
+                index,
+            };
+            if let Some(owner) = self.owner(shard) {
+                let owned = self.owned.entry(owner.server).or_default();
+                owned.insert(index, owner.epoch);
+            }
+        }
+    }
+
     fn check_epochs(&self, entry: EntryKey, region: RegionKey, owners: &[Owner]) {
         let Some(old) = self.placements.get(&(entry, region)) else {
             return;
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/callers.md` documents each path, header and status.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -44,6 +45,19 @@
 ///
 /// The last answer says so, so that a caller does not send into a closing connection.
 async fn serve_connection(node: Weak<Node>, app: tide::Server<Weak<Node>>, stream: TcpStream) {
+    count_connection(&node, 1);
+    serve_requests(&node, app, stream).await;
+    count_connection(&node, -1);
+}
+
+fn count_connection(node: &Weak<Node>, change: isize) {
+    if let Some(node) = node.upgrade() {
+        node.connections
+            .fetch_add(change as usize, Ordering::Relaxed);
+    }
+}
+
+async fn serve_requests(node: &Weak<Node>, app: tide::Server<Weak<Node>>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -32,8 +32,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Time between two reports of what the host holds.
 const REPORT: Duration = Duration::from_secs(5);
-/// Time that callers have to finish after everything was handed over.
-const LINGER: Duration = Duration::from_millis(300);
+/// Time that callers have to use a kept connection once more, and be told to close it.
+const LINGER: Duration = Duration::from_millis(1_500);
 
 /// Why a host could not start.
 #[derive(Debug)]
@@ -66,6 +66,7 @@
     tasks: Mutex<Vec<AbortHandle>>,
     next_request: AtomicU64,
     active: AtomicUsize,
+    pub(crate) connections: AtomicUsize,
     leaving: AtomicBool,
     stopped: AtomicBool,
 }
@@ -103,6 +104,7 @@
             tasks: Mutex::default(),
             next_request: AtomicU64::new(1),
             active: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
             file,
@@ -157,7 +159,11 @@
         while !self.stopped.load(Ordering::Relaxed) {
             task::sleep(TICK).await;
         }
-        task::sleep(LINGER).await;
+        let mut waited = Duration::ZERO;
+        while waited < LINGER && self.connections.load(Ordering::Relaxed) > 0 {
+            task::sleep(TICK).await;
+            waited += TICK;
+        }
         while self.active.load(Ordering::Relaxed) > 0 {
             task::sleep(TICK).await;
         }
