Core: a move whose target lost its host is given up

Cause: a move waited for a host that was gone; by then the target had another controller, so giving up found no target to avoid and did nothing. Change: the move ends in every case.

--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -679,7 +679,10 @@
             .filter(|target| self.view.controller(*target) == Some(host))
             .collect();
         for target in refused {
-            self.forget_move(server, target);
+            self.avoided.insert(target, self.now + AVOIDANCE);
+        }
+        if let Some(control) = self.controls.get_mut(&server) {
+            control.moving = None;
         }
     }
 
