Core: each hand-over of a move is answered for itself; idle hosts tick less

Change: answers go by the number of each hand-over. Also: an idle host looks for waiting work every 50 ms instead of 10, and ticks when the core asks for it.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -72,8 +72,8 @@
     pub step: MoveStep,
     /// Target and new epoch of each shard.
     pub shards: BTreeMap<u32, (ServerKey, Epoch)>,
-    /// Hosts that have not taken their part yet.
-    pub awaited: BTreeSet<HostId>,
+    /// Hand-overs that have not been taken yet, by number, with their targets.
+    pub awaited: BTreeMap<u64, ServerKey>,
     /// Whether the hosts of the targets have been sent their part.
     pub offered: bool,
     /// When the successor was last told of the new owners.
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -44,8 +44,10 @@
 use service::Repeat;
 use storage::Storage;
 
-/// Time between two looks for work that waits.
-const HOUSEKEEPING: Duration = Duration::from_millis(10);
+/// Time between two looks for work that waits, while there is some.
+const BUSY_HOUSEKEEPING: Duration = Duration::from_millis(10);
+/// Time between two looks for work that waits, while there is none.
+const IDLE_HOUSEKEEPING: Duration = Duration::from_millis(50);
 /// Time between two looks for shards to move.
 const BALANCING: Duration = Duration::from_millis(200);
 /// Time between two comparisons of configuration revisions.
@@ -95,6 +97,7 @@
     leaving: bool,
     left: bool,
     next_id: u64,
+    house_due: Time,
     balanced: Time,
     swept: Time,
 }
@@ -144,6 +147,7 @@
             leaving: false,
             left: false,
             next_id: 0,
+            house_due: now,
             balanced: now,
             swept: now,
         }
@@ -282,8 +286,9 @@
     }
 
     fn keep_house(&mut self) {
-        self.timers
-            .subscribe(self.now + HOUSEKEEPING, Wake::Housekeeping);
+        if self.now < self.house_due {
+            return;
+        }
         self.watch_validity();
         self.retry_store_writes();
         self.route_parked();
@@ -301,6 +306,28 @@
             self.swept = self.now;
             self.sweep();
         }
+        self.house_due = self.now + IDLE_HOUSEKEEPING;
+        self.timers.subscribe(self.house_due, Wake::Housekeeping);
+        if self.has_waiting_work() {
+            self.hurry();
+        }
+    }
+
+    /// Brings the next look for work that waits forward.
+    fn hurry(&mut self) {
+        let due = self.now + BUSY_HOUSEKEEPING;
+        if due < self.house_due {
+            self.house_due = due;
+            self.timers.subscribe(due, Wake::Housekeeping);
+        }
+    }
+
+    fn has_waiting_work(&self) -> bool {
+        let moving = self
+            .controls
+            .values()
+            .any(|control| control.moving.is_some());
+        moving || self.leaving || !self.parked.is_empty() || !self.outgoing.is_empty()
     }
 
     fn sweep(&mut self) {
--- a/crates/core/src/host/entrance.rs
+++ b/crates/core/src/host/entrance.rs
@@ -113,6 +113,7 @@
         if let Some(caller) = self.callers.get_mut(&id) {
             caller.holder = None;
             self.parked.insert(id);
+            self.hurry();
         }
     }
 
@@ -277,6 +278,9 @@
                 self.parked.insert(*id);
             }
         }
+        if !self.parked.is_empty() {
+            self.hurry();
+        }
     }
 }
 
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -147,7 +147,7 @@
             .find(|(_, outgoing)| outgoing.id == id && outgoing.to == Some(from))
             .map(|(server, outgoing)| (*server, outgoing.step));
         let Some((server, step)) = found else {
-            self.take_move_answer(from, id, taken);
+            self.take_move_answer(id, taken);
             return;
         };
         if step != Step::Offered {
@@ -209,6 +209,7 @@
             since: self.now,
         };
         self.outgoing.insert(server, outgoing);
+        self.hurry();
         if let Some(control) = self.controls.get_mut(&server) {
             control.phase = Phase::Leaving;
         }
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -276,29 +276,25 @@
         }
     }
 
-    /// Takes a target host's answer to the hand-over of a move.
-    pub(super) fn take_move_answer(&mut self, from: HostId, id: u64, taken: bool) {
+    /// Takes an answer to one of the hand-overs of a move.
+    pub(super) fn take_move_answer(&mut self, id: u64, taken: bool) {
+        let awaited = |moving: &Move| moving.awaited.contains_key(&id);
         let server = self
             .controls
             .iter()
-            .find(|(_, control)| {
-                control
-                    .moving
-                    .as_ref()
-                    .is_some_and(|moving| moving.id == id)
-            })
+            .find(|(_, control)| control.moving.as_ref().is_some_and(awaited))
             .map(|(server, _)| *server);
         let Some(server) = server else {
             return;
         };
-        if !taken {
-            self.abort_move(server, from);
-            return;
-        }
-        if let Some(moving) = self.moving_mut(server) {
-            moving.awaited.remove(&from);
+        if taken {
+            if let Some(moving) = self.moving_mut(server) {
+                moving.awaited.remove(&id);
+            }
+            self.hand(server);
+        } else {
+            self.abort_move(server, id);
         }
-        self.hand(server);
     }
 
     /// Writes an entry's placement where it is not what it should be.
@@ -405,7 +401,7 @@
             id: self.draw_id(),
             step,
             shards,
-            awaited: BTreeSet::new(),
+            awaited: BTreeMap::new(),
             offered: false,
             told: Time::ZERO,
             guard: None,
@@ -414,6 +410,7 @@
         if let Some(control) = self.controls.get_mut(&server) {
             control.moving = Some(moving);
         }
+        self.hurry();
         self.advance_moves();
     }
 
@@ -481,9 +478,9 @@
             self.set_move_step(server, MoveStep::Writing);
             self.write_move(server);
         } else if self.now.since(moving.since) > ANSWER {
-            let late = moving.awaited.iter().next().copied();
-            if let Some(host) = late {
-                self.abort_move(server, host);
+            let late = moving.awaited.keys().next().copied();
+            if let Some(id) = late {
+                self.abort_move(server, id);
             }
         }
     }
@@ -501,12 +498,11 @@
         let Some(moving) = &control.moving else {
             return;
         };
-        let id = moving.id;
         let mut by_target: BTreeMap<ServerKey, Vec<(u32, Epoch)>> = BTreeMap::new();
         for (index, (target, epoch)) in &moving.shards {
             by_target.entry(*target).or_default().push((*index, *epoch));
         }
-        let mut awaited = BTreeSet::new();
+        let mut awaited = BTreeMap::new();
         for (target, shards) in by_target {
             let Some(host) = self.view.controller(target) else {
                 self.forget_move(server, target);
@@ -524,6 +520,7 @@
                 .iter()
                 .map(|(index, _)| self.shard(entry, region, *index))
                 .collect();
+            let id = self.draw_id();
             let message = Message::Handover {
                 id,
                 source,
@@ -532,7 +529,7 @@
                 shards,
                 ledger: self.ledger_part(&keys),
             };
-            awaited.insert(host);
+            awaited.insert(id, target);
             self.send(host, message);
         }
         let now = self.now;
@@ -664,25 +661,17 @@
         }
     }
 
-    /// Gives up a move because a target's host did not take its part.
-    fn abort_move(&mut self, server: ServerKey, host: HostId) {
+    /// Gives up a move because one of its hand-overs was not taken.
+    fn abort_move(&mut self, server: ServerKey, id: u64) {
         let Some(moving) = self.moving(server) else {
             return;
         };
+        let target = moving.awaited.get(&id).copied();
         if moving.step != MoveStep::Handing {
             return;
         }
-        let targets: BTreeSet<ServerKey> =
-            moving.shards.values().map(|(target, _)| *target).collect();
-        let refused: Vec<ServerKey> = targets
-            .into_iter()
-            .filter(|target| self.view.controller(*target) == Some(host))
-            .collect();
-        for target in refused {
-            self.avoided.insert(target, self.now + AVOIDANCE);
-        }
-        if let Some(control) = self.controls.get_mut(&server) {
-            control.moving = None;
+        if let Some(target) = target {
+            self.forget_move(server, target);
         }
     }
 
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -17,6 +17,7 @@
 use amaranthshunt_platform::{BackendClient, StoreClient};
 use amaranthshunt_settings::HostFile;
 use amaranthshunt_wire::Hello;
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpListener;
 use async_std::task;
 use futures::channel::oneshot;
@@ -28,8 +29,10 @@
 use crate::links::{Links, read_link};
 use crate::telemetry::{Metrics, write_log};
 
-/// The longest time between two ticks.
+/// Time between two looks while the host waits for its end.
 const TICK: Duration = Duration::from_millis(10);
+/// The longest time between two ticks.
+const LONGEST_TICK: Duration = Duration::from_millis(50);
 /// Time between two reports of what the host holds.
 const REPORT: Duration = Duration::from_secs(5);
 /// Time that callers have to use a kept connection once more, and be told to close it.
@@ -67,6 +70,8 @@
     next_request: AtomicU64,
     active: AtomicUsize,
     pub(crate) connections: AtomicUsize,
+    alarm: (Sender<()>, Receiver<()>),
+    planned: AtomicU64,
     leaving: AtomicBool,
     stopped: AtomicBool,
 }
@@ -105,6 +110,8 @@
             next_request: AtomicU64::new(1),
             active: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            alarm: bounded(1),
+            planned: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
             file,
@@ -214,9 +221,14 @@
     pub(crate) fn tell(self: &Arc<Self>, event: Event) {
         let mut core = lock(&self.core);
         let effects = core.handle(self.clock.now(), event);
+        let due = core.next_due().map_or(u64::MAX, Time::as_micros);
         for effect in effects {
             self.perform(effect);
         }
+        drop(core);
+        if due < self.planned.load(Ordering::Relaxed) {
+            let _ = self.alarm.0.try_send(());
+        }
     }
 
     /// Runs a task that ends with the host.
@@ -335,19 +347,22 @@
         .map_err(|error| StartError { address, error })
 }
 
+/// Ticks when the core wants it, which an event may bring forward.
 async fn tick(node: Weak<Node>) {
-    while let Some(node) = node.upgrade() {
-        let due = node.inspect(Host::next_due);
-        let wait = due.map_or(TICK, |due| due.since(node.now()));
-        drop_and_sleep(node, wait.min(TICK)).await;
-    }
-}
-
-async fn drop_and_sleep(node: Arc<Node>, wait: Duration) {
-    let node = Arc::downgrade(&node);
-    task::sleep(wait).await;
-    if let Some(node) = node.upgrade() {
-        node.tell(Event::Tick);
+    while let Some(strong) = node.upgrade() {
+        let now = strong.now();
+        let due = strong.inspect(Host::next_due);
+        let wait = due
+            .map_or(LONGEST_TICK, |due| due.since(now))
+            .min(LONGEST_TICK);
+        let planned = (now + wait).as_micros();
+        strong.planned.store(planned, Ordering::Relaxed);
+        let alarm = strong.alarm.1.clone();
+        drop(strong);
+        let _ = async_std::future::timeout(wait, alarm.recv()).await;
+        if let Some(strong) = node.upgrade() {
+            strong.tell(Event::Tick);
+        }
     }
 }
 
