--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -194,7 +194,7 @@
             token,
             phase: Phase::Waiting(start),
             boot: None,
-            lease_until: settled,
+            lease_until: settled.max(self.now + self.timing().lease),
             confirmed_until: Time::ZERO,
             confirmed_at: Time::ZERO,
             granted: BTreeMap::new(),
