Process tests: poison request, home regions, spread of changes

Cause: three promises had no run with real processes. Change: a second region, a host that cannot reach the store, poison bodies.

--- a/crates/host/tests/processes.rs
+++ b/crates/host/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use amaranthshunt_support::{Deployment, Load, LoadOptions, LoadReport, Shape};
+use amaranthshunt_support::{Deployment, Load, LoadOptions, LoadReport, Shape, ask};
 use async_std::task;
 
 /// Deployments run one after another, so that they do not slow each other down.
@@ -133,6 +133,79 @@
     assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
 }
 
+fn deploy<T>(shape: Shape, act: impl AsyncFnOnce(&mut Deployment) -> T) -> T {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    task::block_on(async {
+        let mut deployment = Deployment::start(shape, Path::new(PROGRAM)).await.unwrap();
+        act(&mut deployment).await
+    })
+}
+
+#[test]
+fn a_poison_request_takes_down_two_servers_at_most() {
+    let seen = deploy(Shape::one_region(), async |deployment| {
+        let hosts = deployment.callers();
+        let headers = [("deadline-ms", "2500")];
+        let mut last = None;
+        for number in 0..8 {
+            let host = hosts[number % hosts.len()];
+            last = ask(host, "/v1/catalogue/bad", &headers, "poison").await;
+        }
+        let others = ask(hosts[0], "/v1/catalogue/bad", &headers, "good").await;
+        let down = deployment
+            .backends
+            .iter()
+            .filter(|backend| backend.is_down());
+        (last.unwrap(), others.unwrap(), down.count())
+    });
+    assert_eq!(seen.0.reason, "quarantined");
+    assert_eq!(seen.1.status, 200);
+    assert!(seen.2 <= 2, "{} servers are down", seen.2);
+}
+
+#[test]
+fn a_request_for_another_region_is_refused_with_its_home() {
+    let (seen, here, runs) = deploy(Shape::two_regions(), async |deployment| {
+        let host = deployment.callers()[0];
+        let before = deployment.journal.total();
+        let away = [("tenant", "only-norte")];
+        let seen = ask(host, "/v1/catalogue/k", &away, "secret").await.unwrap();
+        let runs = deployment.journal.total() - before;
+        let home = [("tenant", "only-este")];
+        let here = ask(host, "/v1/catalogue/k", &home, "open").await.unwrap();
+        (seen, here, runs)
+    });
+    assert_eq!((seen.status, seen.home.as_str()), (421, "norte"));
+    assert_eq!(here.status, 200);
+    assert_eq!(runs, 0);
+}
+
+#[test]
+fn a_catalogue_change_is_in_force_everywhere_within_three_seconds() {
+    let mut shape = Shape::one_region();
+    shape.blind_host = true;
+    let took = deploy(shape, async |deployment| {
+        let written = deployment.add_entry("fresh").await.unwrap();
+        let headers = [("deadline-ms", "1")];
+        for host in deployment.callers() {
+            loop {
+                let seen = ask(host, "/v1/fresh/k", &headers, "").await.unwrap();
+                if seen.reason != "unknown-entry" {
+                    break;
+                }
+                assert!(
+                    written.elapsed() < Duration::from_secs(10),
+                    "{host}: {seen:?}"
+                );
+                task::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        written.elapsed()
+    });
+    println!("in force on five hosts, one without the store, after {took:?}");
+    assert!(took < Duration::from_secs(3), "{took:?}");
+}
+
 #[test]
 fn bad_settings_start_nothing_and_name_everything() {
     let folder = std::env::temp_dir();
--- a/crates/support/src/backend.rs
+++ b/crates/support/src/backend.rs
@@ -149,6 +149,11 @@
         self.slowdown.store(factor, Ordering::Relaxed);
     }
 
+    /// Whether the server has been lost and not started again.
+    pub fn is_down(&self) -> bool {
+        lock(&self.tasks).is_aborted()
+    }
+
     /// Requests that the server has answered.
     pub fn completed(&self) -> u64 {
         self.completed.load(Ordering::Relaxed)
--- a/crates/support/src/deployment.rs
+++ b/crates/support/src/deployment.rs
@@ -23,6 +23,8 @@
 const HOST_PROCESS: &str = "host-process";
 /// Time that a deployment has to serve its first request.
 const START_LIMIT: Duration = Duration::from_secs(20);
+/// The name of a host that cannot reach the store.
+const BLIND: &str = "blind";
 /// Time that a call to the store may take.
 const STORE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -41,6 +43,8 @@
     pub slots: u32,
     /// Time that one request takes at a server.
     pub service: Duration,
+    /// Whether one more host runs that cannot reach the store.
+    pub blind_host: bool,
 }
 
 impl Shape {
@@ -56,6 +60,15 @@
             shards: 48,
             slots: 4,
             service: Duration::from_millis(5),
+            blind_host: false,
+        }
+    }
+
+    /// Two regions with one failure domain each.
+    pub fn two_regions() -> Self {
+        Self {
+            domains: vec!["este/e1".to_owned(), "norte/n1".to_owned()],
+            ..Self::one_region()
         }
     }
 }
@@ -168,6 +181,21 @@
         self.hosts.iter().map(|host| cpu_of(host.child.id())).sum()
     }
 
+    /// Writes one more catalogue entry, and returns when it was written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not take it.
+    pub async fn add_entry(&self, name: &str) -> amaranthshunt_platform::Result<Instant> {
+        let client = StoreClient::new(self.store.address(), STORE_LIMIT);
+        let entry = entry(&self.shape, name, Class::Read, 0);
+        let value = serde_json::to_vec(&entry).unwrap_or_default();
+        client
+            .put(&ObjectKey::entry(name), Revision(0), value.into())
+            .await?;
+        Ok(Instant::now())
+    }
+
     /// Gives an operator's order.
     ///
     /// # Errors
@@ -232,12 +260,20 @@
             .iter()
             .map(|(_, _, _, hosts)| format!("\"{hosts}\""))
             .collect();
+        if self.shape.blind_host {
+            let domain = self.shape.domains[0].clone();
+            addresses.push((BLIND.to_owned(), domain, free_address(), free_address()));
+        }
         for (name, domain, callers, hosts) in addresses {
+            let store = if name == BLIND {
+                free_address()
+            } else {
+                self.store.address()
+            };
             let text = format!(
                 "name = \"{name}\"\ndomain = \"{domain}\"\n\
                  [listen]\ncallers = \"{callers}\"\nhosts = \"{hosts}\"\n\
-                 [platform]\nstore = \"{}\"\n[peers]\nseeds = [{}]\n",
-                self.store.address(),
+                 [platform]\nstore = \"{store}\"\n[peers]\nseeds = [{}]\n",
                 seeds.join(", ")
             );
             let settings = self.folder.join(format!("{name}.toml"));
@@ -311,9 +347,10 @@
             });
         }
     }
-    let mut regions: Vec<String> = servers
+    let mut regions: Vec<String> = shape
+        .domains
         .iter()
-        .map(|server| server.domain.region().to_owned())
+        .filter_map(|domain| Some(domain.split('/').next()?.to_owned()))
         .collect();
     regions.sort();
     regions.dedup();
@@ -321,8 +358,11 @@
         name: name.to_owned(),
         owner: "support".to_owned(),
         class,
+        tenants: regions
+            .iter()
+            .map(|region| (format!("only-{region}"), vec![region.clone()]))
+            .collect(),
         regions,
-        tenants: std::collections::BTreeMap::new(),
         shards: shape.shards,
         limits: Limits {
             slots: shape.slots,
--- a/crates/support/src/lib.rs
+++ b/crates/support/src/lib.rs
@@ -11,5 +11,5 @@
 pub use backend::{BackendOptions, BackendStandIn};
 pub use deployment::{Deployment, Shape, free_address, run_host_process};
 pub use journal::Journal;
-pub use load::{Load, LoadOptions, LoadReport, Tally};
+pub use load::{Load, LoadOptions, LoadReport, Seen, Tally, ask};
 pub use store::StoreStandIn;
--- a/crates/support/src/load.rs
+++ b/crates/support/src/load.rs
@@ -212,6 +212,46 @@
     key.is_some_and(|key| journal.ran(&key))
 }
 
+/// One answer as a caller sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seen {
+    /// The HTTP status.
+    pub status: u16,
+    /// The outcome header.
+    pub outcome: String,
+    /// The reason header.
+    pub reason: String,
+    /// The home regions header.
+    pub home: String,
+}
+
+/// Sends one request with extra headers and reads what a caller sees.
+pub async fn ask(
+    host: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Seen> {
+    let url = Url::parse(&format!("http://{host}{path}")).ok()?;
+    let mut request = Request::new(Method::Post, url);
+    for (name, value) in headers {
+        request.insert_header(*name, *value);
+    }
+    request.set_body(body);
+    let http = HttpClient::default();
+    let reply = http
+        .send(host, request, Duration::from_secs(5))
+        .await
+        .ok()?;
+    let header = |name| reply.header(name).unwrap_or_default().to_owned();
+    Some(Seen {
+        status: reply.status,
+        outcome: header("outcome"),
+        reason: header("reason"),
+        home: header("home-regions"),
+    })
+}
+
 async fn send(http: &HttpClient, host: SocketAddr, wanted: &Wanted, repeat: bool) -> String {
     let text = format!("http://{host}/v1/{}/{}", wanted.entry, wanted.key);
     let Ok(url) = Url::parse(&text) else {
--- a/crates/support/src/serve.rs
+++ b/crates/support/src/serve.rs
@@ -21,6 +21,12 @@
         task::spawn(Abortable::new(future, registration));
     }
 
+    /// Whether everything was dropped.
+    pub(crate) fn is_aborted(&self) -> bool {
+        let handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
+        handles.is_empty()
+    }
+
     /// Drops every socket and everything under way.
     pub(crate) fn abort(&self) {
         let mut handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
