Tests: a failure domain cut off from everything goes on serving its keys

Cause: the randomised runs cut single hosts, never a whole domain. Change: a fault that cuts a domain from the others, the store and foreign servers; a run of ten seeds that asks for answers on both sides of the cut and for all keys after it.

--- a/crates/core/tests/core/fleet.rs
+++ b/crates/core/tests/core/fleet.rs
@@ -63,6 +63,8 @@
     StoreLossy(Duration),
     StoreSlow(Duration),
     Order(Subject, bool),
+    /// A failure domain hears neither the others nor the store.
+    CutDomain(usize, Duration),
     /// Both hosts of a pair are lost at once.
     KillBoth(usize, usize),
 }
@@ -150,6 +152,7 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
+    slot: usize,
     uid: String,
     entry: String,
     submitted: u64,
@@ -273,6 +276,15 @@
         self.now
     }
 
+    /// Answers so far to callers of the hosts of a failure domain.
+    pub(crate) fn answers_in(&self, domain: &str) -> u64 {
+        let slots = self.slots.iter().enumerate();
+        slots
+            .filter(|(_, slot)| slot.domain == domain)
+            .filter_map(|(slot, _)| self.checks.answers_at.get(&slot))
+            .sum()
+    }
+
     /// One line for each host and each server under control.
     pub(crate) fn describe(&self) -> String {
         let mut lines = Vec::new();
--- a/crates/core/tests/core/fleet/backend.rs
+++ b/crates/core/tests/core/fleet/backend.rs
@@ -17,6 +17,7 @@
 pub(crate) struct Backend {
     pub name: String,
     pub entry: String,
+    pub domain: String,
     pub address: SocketAddr,
     pub checks: bool,
     pub offset: i64,
@@ -55,6 +56,7 @@
         Self {
             name: server.name.clone(),
             entry,
+            domain: server.domain.to_string(),
             address: server.address,
             checks: server.checks,
             offset,
--- a/crates/core/tests/core/fleet/callers.rs
+++ b/crates/core/tests/core/fleet/callers.rs
@@ -79,6 +79,7 @@
         let number = self.next_request;
         let uid = String::from_utf8_lossy(&request.body).into_owned();
         let attempt = Attempt {
+            slot,
             uid: uid.clone(),
             entry: request.entry.clone(),
             submitted: self.now,
--- a/crates/core/tests/core/fleet/checks.rs
+++ b/crates/core/tests/core/fleet/checks.rs
@@ -15,6 +15,7 @@
     epochs: HashMap<(String, u32), u64>,
     faults: VecDeque<(u64, String)>,
     pub answered: BTreeMap<String, u64>,
+    pub answers_at: BTreeMap<usize, u64>,
     pub not_run: BTreeMap<String, u64>,
     pub unknown: BTreeMap<String, u64>,
     pub kinds: BTreeMap<String, u64>,
@@ -125,6 +126,7 @@
                 if seen.once {
                     assert_eq!(seen.runs, 1, "{uid} was answered without a run; {story}");
                 }
+                *self.answers_at.entry(attempt.slot).or_default() += 1;
                 self.last_answer.insert(entry.to_owned(), attempt.submitted);
                 &mut self.answered
             }
--- a/crates/core/tests/core/fleet/faults.rs
+++ b/crates/core/tests/core/fleet/faults.rs
@@ -18,7 +18,7 @@
         let other = (host + self.rng.random_range(1..self.slots.len())) % self.slots.len();
         let server = self.rng.random_range(0..self.backends.len());
         let span = Duration::from_millis(self.rng.random_range(50..2_500));
-        match self.rng.random_range(0..19) {
+        match self.rng.random_range(0..20) {
             0 | 1 => Fault::KillHost(host),
             2 => Fault::LeaveHost(host),
             3 | 4 => Fault::PauseHost(host, span),
@@ -36,6 +36,7 @@
             }
             16 => Fault::Order(Subject::Server(self.backends[server].name.clone()), true),
             17 => Fault::KillBoth(host, server),
+            18 => Fault::CutDomain(host, span),
             _ => Fault::CoolServer(server),
         }
     }
@@ -95,6 +96,7 @@
             Fault::CutHostServer(slot, server, span) => {
                 self.server_cuts.insert((slot, server), after(span));
             }
+            Fault::CutDomain(slot, span) => self.cut_domain(slot, after(span)),
             Fault::StoreDown(span) => self.store.down_until = after(span),
             Fault::StoreLossy(span) => self.store.lossy_until = after(span),
             Fault::StoreSlow(span) => self.store.slow_until = after(span),
@@ -107,6 +109,27 @@
         }
     }
 
+    /// Cuts the failure domain of a host from everything outside it.
+    fn cut_domain(&mut self, slot: usize, until: u64) {
+        let domain = self.slots[slot].domain.clone();
+        for one in 0..self.slots.len() {
+            let inside = self.slots[one].domain == domain;
+            if inside {
+                self.store_cuts.insert(one, until);
+            }
+            for other in 0..self.slots.len() {
+                if inside && self.slots[other].domain != domain {
+                    self.cuts.insert(pair(one, other), until);
+                }
+            }
+            for server in 0..self.backends.len() {
+                if inside != (self.backends[server].domain == domain) {
+                    self.server_cuts.insert((one, server), until);
+                }
+            }
+        }
+    }
+
     pub(super) fn write_order(&mut self, key: &ObjectKey, out: bool) {
         let order = OrderRecord {
             out,
--- a/crates/core/tests/core/random.rs
+++ b/crates/core/tests/core/random.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::fleet::{Fleet, Shape};
+use super::fleet::{Fault, Fleet, Shape};
 
 /// Seeds of an ordinary test run; `AMARANTHSHUNT_SEEDS` asks for more.
 const SEEDS: u64 = 40;
@@ -61,6 +61,31 @@
     }
 }
 
+#[test]
+fn a_domain_that_is_cut_off_goes_on_serving_its_keys() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(&Shape::default(), seed);
+        fleet.jitter = false;
+        fleet.run(Duration::from_secs(4));
+        let span = Duration::from_secs(6);
+        fleet.fault_after(Duration::ZERO, Fault::CutDomain(0, span));
+        fleet.run(Duration::from_secs(4));
+        let before = ["este/e1", "este/e2"].map(|domain| fleet.answers_in(domain));
+        fleet.run(Duration::from_secs(2));
+        let after = ["este/e1", "este/e2"].map(|domain| fleet.answers_in(domain));
+        println!("seed {seed}: {before:?} to {after:?} in the last 2 s of the cut");
+        assert!(after[0] > before[0] + 100 && after[1] > before[1] + 100);
+        fleet.run(Duration::from_secs(4));
+        for entry in ["catalogue", "billing"] {
+            let last = fleet.checks.last_answer.get(entry).copied();
+            assert!(
+                last > Some(fleet.now() - 1_000_000),
+                "{entry} is not served"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_quiet_fleet_answers_everything() {
     for seed in 0..3 {
