Core: moves split by job

Cause: one file of 791 lines held planning, the steps of a move, placement records, the guard before a write, and provisional owners. Change: five files; nothing else.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -1,16 +1,21 @@
 //! The state machine of one entry host.
 //!
 //! The parts share one [`Host`] and live in files of their own: requests of callers in
-//! `entrance`, work for backend servers in `service`, their leases in `leases`, shards that
-//! change their owner in `moves`, succession in `membership`, the store in `storage`, ledger
-//! copies in `copying`, control that changes hands in `handover`.
+//! `entrance`, work for backend servers in `service`, their leases in `leases`. Shards that change
+//! their owner go through `planning`, `moves`, `guards` and `placements`, or `provisional` while
+//! the store is silent. Succession is in `membership`, the store in `storage`, ledger copies in
+//! `copying`, control that changes hands in `handover`.
 
 mod copying;
 mod entrance;
+mod guards;
 mod handover;
 mod leases;
 mod membership;
 mod moves;
+mod placements;
+mod planning;
+mod provisional;
 mod service;
 mod storage;
 
--- /dev/null
+++ b/crates/core/src/host/placements.rs
@@ -0,0 +1,210 @@
+//! Records of who owns which shard.
+
+use super::Host;
+use super::storage::{PlacementWrite, Purpose};
+use crate::balance;
+use crate::control::MoveStep;
+use crate::ids::{EntryKey, Epoch, RegionKey, Revision, ServerKey};
+use crate::log::Code;
+use crate::object::ObjectKey;
+use crate::record::{Assignment, PlacementRecord};
+
+impl Host {
+    /// Makes first placements for entries that have none.
+    pub(super) fn create_placements(&mut self) {
+        if !self.is_valid() {
+            return;
+        }
+        let region_name = self.region().to_owned();
+        let region = self.view.regions.intern(&region_name);
+        let entries: Vec<EntryKey> = self
+            .view
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.regions.contains(&region_name))
+            .map(|(key, _)| key)
+            .collect();
+        for entry in entries {
+            if self.view.placement(entry, region).is_none() {
+                self.write_placement(entry, region);
+            }
+        }
+    }
+
+    /// Raises the touch counter of a server's placement, so that writes which the last
+    /// controller has under way no longer apply.
+    pub(super) fn touch_placement(&mut self, server: ServerKey) {
+        if self.touched.contains(&server) {
+            return;
+        }
+        if let Some(info) = self.view.servers.get(server) {
+            let (entry, region) = (info.entry, info.region);
+            self.write_placement(entry, region);
+        }
+    }
+
+    /// Writes an entry's placement where it is not what it should be.
+    pub(super) fn write_placement(&mut self, entry: EntryKey, region: RegionKey) {
+        let entry_name = self.view.entries.name(entry).to_owned();
+        let key = ObjectKey::placement(&entry_name, self.view.regions.name(region));
+        if self.is_writing(&key) {
+            return;
+        }
+        let mut write = PlacementWrite {
+            entry,
+            region,
+            moves: Vec::new(),
+            touched: Vec::new(),
+        };
+        let (revision, mut record) = self.stored_placement(entry, region, &key);
+        let old = record.clone();
+        if revision == Revision(0) {
+            record.shards = self.first_owners(entry, region);
+        }
+        self.merge_provisional(entry, region, &mut record);
+        self.merge_moves(revision, &mut record, &mut write);
+        self.merge_touches(&mut record, &mut write);
+        if record != old {
+            self.write(key, revision, &record, Purpose::Placement(write));
+        }
+    }
+
+    pub(super) fn complete_placement_write(&mut self, write: &PlacementWrite) {
+        for (server, id) in &write.moves {
+            let current = self.moving(*server).map(|moving| moving.id);
+            if current == Some(*id) {
+                self.finish_move(*server, Code::ShardsMoved);
+            }
+        }
+        for (server, token) in &write.touched {
+            let current = self.controls.get(server).map(|control| control.token);
+            if current != Some(*token) {
+                continue;
+            }
+            self.touched.insert(*server);
+            if let Some((host, term)) = self.heirs.remove(server) {
+                self.inherit_ledger(*server, host, term);
+            }
+        }
+    }
+
+    pub(super) fn give_up_placement_write(&mut self, write: &PlacementWrite) {
+        for (server, _) in &write.moves {
+            if let Some(moving) = self.moving_mut(*server) {
+                moving.guard = None;
+            }
+        }
+    }
+
+    pub(super) fn stored_placement(
+        &self,
+        entry: EntryKey,
+        region: RegionKey,
+        key: &ObjectKey,
+    ) -> (Revision, PlacementRecord) {
+        let Some(placement) = self.view.placement(entry, region) else {
+            return (self.view.revision_of(key), PlacementRecord::default());
+        };
+        let shards = placement
+            .owners
+            .iter()
+            .map(|owner| Assignment {
+                server: self.server_name(owner.server),
+                epoch: owner.epoch,
+            })
+            .collect();
+        let record = PlacementRecord {
+            shards,
+            touched: placement.touched,
+        };
+        (placement.revision, record)
+    }
+
+    pub(super) fn first_owners(&self, entry: EntryKey, region: RegionKey) -> Vec<Assignment> {
+        let count = self.view.entries.get(entry).map_or(0, |entry| entry.shards);
+        let mut holdings = self.holdings(entry, region);
+        for (server, held) in &mut holdings {
+            held.weight = if self.view.is_eligible(*server) {
+                1.0
+            } else {
+                0.0
+            };
+        }
+        balance::spread(count, &holdings)
+            .into_iter()
+            .map(|server| Assignment {
+                server: self.server_name(server),
+                epoch: Epoch(1),
+            })
+            .collect()
+    }
+
+    pub(super) fn merge_provisional(
+        &self,
+        entry: EntryKey,
+        region: RegionKey,
+        record: &mut PlacementRecord,
+    ) {
+        for (shard, owner) in self.view.provisional() {
+            if shard.entry != entry || shard.region != region {
+                continue;
+            }
+            let Some(kept) = record.shards.get_mut(shard.index as usize) else {
+                continue;
+            };
+            if owner.epoch > kept.epoch {
+                kept.server = self.server_name(owner.server);
+                kept.epoch = owner.epoch;
+            }
+        }
+    }
+
+    pub(super) fn merge_moves(
+        &self,
+        revision: Revision,
+        record: &mut PlacementRecord,
+        write: &mut PlacementWrite,
+    ) {
+        for (server, control) in &self.controls {
+            let Some(moving) = &control.moving else {
+                continue;
+            };
+            let guard = moving.guard.as_ref();
+            let passed = guard.is_some_and(|guard| guard.passed && guard.base == revision);
+            let here = self
+                .view
+                .servers
+                .get(*server)
+                .is_some_and(|info| info.entry == write.entry && info.region == write.region);
+            if moving.step != MoveStep::Writing || !passed || !here || !self.is_valid() {
+                continue;
+            }
+            for (index, (target, epoch)) in &moving.shards {
+                let Some(kept) = record.shards.get_mut(*index as usize) else {
+                    continue;
+                };
+                if kept.epoch < *epoch {
+                    kept.server = self.server_name(*target);
+                    kept.epoch = *epoch;
+                }
+            }
+            write.moves.push((*server, moving.id));
+        }
+    }
+
+    pub(super) fn merge_touches(&self, record: &mut PlacementRecord, write: &mut PlacementWrite) {
+        for (server, control) in &self.controls {
+            let here = self
+                .view
+                .servers
+                .get(*server)
+                .is_some_and(|info| info.entry == write.entry && info.region == write.region);
+            if here && !self.touched.contains(server) {
+                write.touched.push((*server, control.token));
+            }
+        }
+        if !write.touched.is_empty() {
+            record.touched += 1;
+        }
+    }
+}
