Core: a grant counts as followed only when the register names it

Ruled out: older hosts' grants, by a trace of every call to that register. Change: a register's state carries the number of the grant that it follows. Also: unconfirmed grants are forgotten only after twice the skew.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -59,8 +59,8 @@
     pub call: CallId,
     /// When it was made.
     pub sent: Time,
-    /// The end of the lease that it grants; `None` for a question.
-    pub expires: Option<Time>,
+    /// The number of the grant and the end of its lease; `None` for a question.
+    pub grant: Option<(u64, Time)>,
 }
 
 /// Shards on their way to other servers.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -210,6 +210,8 @@
     pub boot: u64,
     /// The registered token.
     pub token: Token,
+    /// The number of the grant that the server follows under that token.
+    pub sequence: u64,
     /// Orders that run now.
     pub running: u32,
 }
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -348,9 +348,10 @@
         self.quarantine.expire(self.now, timing.quarantine);
         let now = self.now;
         self.avoided.retain(|_, until| *until > now);
+        let lapsed = now - timing.drift();
         for control in self.controls.values_mut() {
             control.ghosts.retain(|end| *end > now);
-            control.unconfirmed.retain(|(end, _)| *end > now);
+            control.unconfirmed.retain(|(end, _)| *end > lapsed);
         }
     }
 
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -107,7 +107,7 @@
             }
             RegisterResult::Failed => {
                 control.unsure = true;
-                if let Some(expires) = open.expires {
+                if let Some((_, expires)) = open.grant {
                     control.lease_until = control.lease_until.max(expires);
                     let shards: BTreeSet<u32> = offered.into_keys().collect();
                     control.unconfirmed.push((expires, shards));
@@ -266,7 +266,7 @@
         }
         let silent = now.since(control.answered.max(control.gained)) > UNHEARD;
         let lapsed =
-            now > control.lease_until + drift && control.call.is_none_or(|c| c.expires.is_none());
+            now > control.lease_until + drift && control.call.is_none_or(|c| c.grant.is_none());
         if control.phase == Phase::Active && control.unsure && silent && lapsed && valid {
             control.phase = Phase::Lost;
             control.granted.clear();
@@ -308,7 +308,7 @@
         control.call = Some(RegisterCall {
             call,
             sent: now,
-            expires: grant.as_ref().map(|grant| grant.expires),
+            grant: grant.as_ref().map(|grant| (grant.sequence, grant.expires)),
         });
         self.servers_by_call.insert(call, server);
         self.effects.push(Effect::Register {
@@ -330,7 +330,10 @@
         let Some(control) = self.controls.get_mut(&server) else {
             return;
         };
-        let first = open.expires.is_some() && control.confirmed_at == Time::ZERO;
+        let followed = open
+            .grant
+            .filter(|(sequence, _)| state.token == control.token && state.sequence == *sequence);
+        let first = followed.is_some() && control.confirmed_at == Time::ZERO;
         let restarted = control.boot.is_some_and(|boot| boot != state.boot);
         if control.boot.is_none() {
             control.limiter.restarted(now);
@@ -344,13 +347,13 @@
         if first && state.running > 0 {
             control.inherited = (state.running, now + validity);
         }
-        if let Some(expires) = open.expires {
+        if let Some((_, expires)) = followed {
             control.lease_until = control.lease_until.max(expires);
             control.confirmed_until = expires;
             control.confirmed_at = open.sent;
             control.granted.clone_from(&offered);
             self.open_shards(server, &offered);
-        } else if control.phase == Phase::Active {
+        } else if open.grant.is_none() && control.phase == Phase::Active {
             self.call_register(server);
         }
         if restarted {
--- a/crates/core/tests/core/fleet/backend.rs
+++ b/crates/core/tests/core/fleet/backend.rs
@@ -164,6 +164,7 @@
         RegisterResult::State(RegisterState {
             boot: self.boot,
             token: self.token,
+            sequence: self.sequence,
             running: self.running(clock) as u32,
         })
     }
--- a/crates/support/examples/slopes/bench.rs
+++ b/crates/support/examples/slopes/bench.rs
@@ -200,10 +200,12 @@
                 },
             }),
             Effect::Register { call, grant, .. } => {
-                let token = grant.map_or(Token(1), |grant| grant.token);
+                let (token, sequence) =
+                    grant.map_or((Token(1), 0), |grant| (grant.token, grant.sequence));
                 let state = RegisterState {
                     boot: 1,
                     token,
+                    sequence,
                     running: 0,
                 };
                 Some(Event::Register {
--- a/crates/support/src/backend.rs
+++ b/crates/support/src/backend.rs
@@ -186,10 +186,12 @@
         }
     }
 
-    fn state(&self, token: Token) -> RegisterState {
+    fn state(&self) -> RegisterState {
+        let register = lock(&self.register);
         RegisterState {
             boot: self.boot,
-            token,
+            token: register.token,
+            sequence: register.sequence,
             running: self.running.load(Ordering::Relaxed) as u32,
         }
     }
@@ -202,8 +204,8 @@
         }
     }
 
-    /// Follows a grant; returns the registered token where that is higher.
-    fn follow(&self, grant: Grant) -> Result<Token, Token> {
+    /// Follows a grant; fails with the registered token where that is higher.
+    fn follow(&self, grant: Grant) -> Result<(), Token> {
         let mut register = lock(&self.register);
         if self.options.checks && grant.token < register.token {
             return Err(register.token);
@@ -217,7 +219,7 @@
             let shards = grant.shards.into_iter();
             register.shards = shards.map(|(shard, epoch)| (shard, epoch.0)).collect();
         }
-        Ok(register.token)
+        Ok(())
     }
 
     fn refusal_of(&self, order: &Ordered) -> Option<&'static str> {
@@ -258,12 +260,12 @@
     shared.thaw().await;
     let body = request.body_bytes().await?;
     let followed = if body.is_empty() {
-        Ok(lock(&shared.register).token)
+        Ok(())
     } else {
         shared.follow(serde_json::from_slice(&body)?)
     };
     match followed {
-        Ok(token) => Ok(tide::Body::from_json(&shared.state(token))?.into()),
+        Ok(()) => Ok(tide::Body::from_json(&shared.state())?.into()),
         Err(token) => Ok(Response::builder(StatusCode::Conflict)
             .header(header::TOKEN, token.to_string())
             .build()),
