Tests: recorded traces replayed against stated outcomes

Change: five traces of one host (quiet, server lost, neighbour lost, store down, paused), with the outcomes and counts that they state.

--- a/crates/core/tests/core/fleet.rs
+++ b/crates/core/tests/core/fleet.rs
@@ -15,6 +15,7 @@
 use amaranthshunt_core::ids::{CallId, ExchangeId};
 use amaranthshunt_core::object::ObjectKey;
 use amaranthshunt_core::record::Subject;
+use amaranthshunt_core::trace::{Step, Trace};
 use amaranthshunt_core::{Effect, Event, Host, HostId, HostSettings, Request, Time, Timing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -148,6 +149,8 @@
     pub load: bool,
     pub jitter: bool,
     recent: VecDeque<Request>,
+    recording: Option<(HostId, Trace)>,
+    pub gap: std::ops::Range<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -222,6 +225,8 @@
             load: true,
             jitter: true,
             recent: VecDeque::new(),
+            recording: None,
+            gap: 500..4_000,
         };
         for entry in entries(shape) {
             let key = ObjectKey::entry(&entry.name);
@@ -276,6 +281,12 @@
         self.now
     }
 
+    /// What the first host was told since its first start.
+    pub(crate) fn trace(&self) -> &Trace {
+        let recording = self.recording.as_ref();
+        &recording.expect("the first host was started").1
+    }
+
     /// Answers so far to callers of the hosts of a failure domain.
     pub(crate) fn answers_in(&self, domain: &str) -> u64 {
         let slots = self.slots.iter().enumerate();
@@ -386,6 +397,16 @@
         };
         let clock = self.clock(self.slots[slot].offset);
         let seed = self.rng.random();
+        if slot == 0 && self.recording.is_none() {
+            let trace = Trace {
+                settings: settings.clone(),
+                seed,
+                started: clock,
+                steps: Vec::new(),
+                outcomes: Vec::new(),
+            };
+            self.recording = Some((id, trace));
+        }
         self.slots[slot].host = Some(Host::new(settings, seed, clock));
         self.slots[slot].paused_until = 0;
         self.slots[slot].inbox.clear();
@@ -418,8 +439,10 @@
         let clock = Time::from_micros(self.now.saturating_add_signed(place.offset));
         let mut effects = Vec::new();
         for event in events {
+            record(&mut self.recording, id, clock, &event);
             effects.extend(host.handle(clock, event));
         }
+        note_outcomes(&mut self.recording, id, &effects);
         let due = host.next_due();
         self.perform(slot, id, effects);
         if let Some(due) = due {
@@ -520,6 +543,24 @@
     }
 }
 
+fn record(recording: &mut Option<(HostId, Trace)>, id: HostId, at: Time, event: &Event) {
+    if let Some((host, trace)) = recording.as_mut().filter(|(host, _)| *host == id) {
+        debug_assert_eq!(*host, id);
+        let event = event.clone();
+        trace.steps.push(Step { at, event });
+    }
+}
+
+fn note_outcomes(recording: &mut Option<(HostId, Trace)>, id: HostId, effects: &[Effect]) {
+    if let Some((_, trace)) = recording.as_mut().filter(|(host, _)| *host == id) {
+        let outcomes = effects.iter().filter_map(|effect| match effect {
+            Effect::Respond { outcome, .. } => Some(outcome.clone()),
+            _ => None,
+        });
+        trace.outcomes.extend(outcomes);
+    }
+}
+
 fn pair(one: usize, other: usize) -> (usize, usize) {
     (one.min(other), one.max(other))
 }
--- a/crates/core/tests/core/fleet/callers.rs
+++ b/crates/core/tests/core/fleet/callers.rs
@@ -12,7 +12,7 @@
 
 impl Fleet {
     pub(super) fn submit(&mut self, number: usize) {
-        let gap = self.rng.random_range(500..4_000);
+        let gap = self.rng.random_range(self.gap.clone());
         self.at(self.now + gap, Action::Submit(number + 1));
         if !self.load {
             return;
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -4,4 +4,5 @@
 mod host;
 mod pages;
 mod random;
+mod traces;
 mod units;
--- /dev/null
+++ b/crates/core/tests/core/traces.rs
@@ -0,0 +1,67 @@
+//! Recorded traces of one host, replayed against the outcomes that they state.
+//!
+//! `AMARANTHSHUNT_RECORD=1 cargo test -p amaranthshunt-core --test core traces` records them anew,
+//! which is called for only where a change of behaviour is wanted.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use amaranthshunt_core::Outcome;
+use amaranthshunt_core::trace::Trace;
+use yare::parameterized;
+
+use super::fleet::{Fault, Fleet, Shape};
+
+fn path(name: &str) -> PathBuf {
+    PathBuf::from("tests/traces").join(format!("{name}.json"))
+}
+
+fn small() -> Shape {
+    Shape {
+        servers_per_domain: 1,
+        shards: 4,
+        ..Shape::default()
+    }
+}
+
+/// Runs a small fleet with one fault and returns what its first host was told.
+fn recorded(fault: Option<Fault>) -> Trace {
+    let mut fleet = Fleet::new(&small(), 5);
+    fleet.jitter = false;
+    fleet.gap = 30_000..50_000;
+    fleet.run(Duration::from_millis(1_500));
+    if let Some(fault) = fault {
+        fleet.fault_after(Duration::ZERO, fault);
+    }
+    fleet.run(Duration::from_millis(1_500));
+    fleet.trace().clone()
+}
+
+fn load(name: &str, fault: Option<Fault>) -> Trace {
+    if std::env::var_os("AMARANTHSHUNT_RECORD").is_some() {
+        let text = serde_json::to_string(&recorded(fault)).unwrap();
+        std::fs::create_dir_all("tests/traces").unwrap();
+        std::fs::write(path(name), text).unwrap();
+    }
+    let text = std::fs::read_to_string(path(name)).unwrap();
+    serde_json::from_str(&text).unwrap()
+}
+
+#[parameterized(
+    quiet = { "quiet", None, 16, 16 },
+    server_lost = { "server-lost", Some(Fault::KillServer(0, Duration::from_secs(5))), 17, 17 },
+    neighbour_lost = { "neighbour-lost", Some(Fault::KillHost(1)), 20, 21 },
+    store_down = { "store-down", Some(Fault::StoreDown(Duration::from_secs(5))), 16, 16 },
+    paused = { "paused", Some(Fault::PauseHost(0, Duration::from_millis(900))), 13, 16 },
+)]
+fn a_trace_ends_as_it_states(name: &str, fault: Option<Fault>, answers: usize, ended: usize) {
+    let trace = load(name, fault);
+    let replayed = trace.replay();
+    let outcomes = Trace::outcomes_of(&replayed);
+    assert_eq!(outcomes, trace.outcomes);
+    let answered = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome, Outcome::Answer(_)))
+        .count();
+    assert_eq!((answered, outcomes.len()), (answers, ended));
+}
