--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -142,6 +142,30 @@
     assert!(stdout(&ctl(&store, "ana", &["status"])).contains("server s1 is out"));
 }
 
+#[test]
+fn hosts_and_domains_go_out_and_come_back() {
+    let store = store();
+    for words in [
+        ["host", "out", "este-e1-h0"],
+        ["host", "lost", "4611686018427387904"],
+        ["domain", "out", "este/e1"],
+        ["domain", "return", "este/e1"],
+    ] {
+        let done = ctl(&store, "ana", &words);
+        assert!(done.status.success(), "{words:?}: {}", stderr(&done));
+    }
+    let status = stdout(&ctl(&store, "ana", &["status"]));
+    assert!(
+        status.contains("host este-e1-h0 is out, by ana"),
+        "{status}"
+    );
+    assert!(
+        status.contains("lost 4611686018427387904 is out"),
+        "{status}"
+    );
+    assert!(!status.contains("este/e1 is out"), "{status}");
+}
+
 #[test]
 fn wrong_command_lines_exit_with_two() {
     for words in [
--- a/crates/support/examples/measure/scenario.rs
+++ b/crates/support/examples/measure/scenario.rs
@@ -1,11 +1,13 @@
 //! What is done to a deployment while the load runs.
 
+use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use amaranthshunt_core::record::{PlacementRecord, Subject};
-use amaranthshunt_platform::StoreClient;
-use amaranthshunt_support::{Deployment, Load, LoadOptions, Shape};
+use amaranthshunt_platform::{HttpClient, StoreClient};
+use amaranthshunt_support::{BackendStandIn, Deployment, Load, LoadOptions, Shape};
 use async_std::task;
 
 use super::report::Report;
@@ -86,11 +88,16 @@
     let sending = task::spawn(load.run(options));
     disturb(&mut deployment, wanted, &program).await?;
     let report = sending.await;
+    let took = started.elapsed();
     let cpu = deployment.cpu().saturating_sub(cpu_before);
     let after = placements(&deployment).await?;
     let latency = report.latency();
-    let direct = direct_latency(&deployment, wanted).await;
     let (store_reads, store_writes, _) = deployment.store.calls();
+    let journal = &deployment.journal;
+    let (double_runs, double_owners) = (journal.double_runs(), journal.double_owners());
+    let overruns = journal.overruns();
+    let imbalance = imbalance(&deployment);
+    let direct = direct_latency(&deployment, wanted).await;
     Ok(Report {
         scenario: wanted.scenario.name().to_owned(),
         seed: wanted.seed,
@@ -105,17 +112,17 @@
         direct_p50_us: direct.map(|(p50, _)| p50),
         direct_p99_us: direct.map(|(_, p99)| p99),
         longest_wait_ms: latency.max() / 1_000,
-        imbalance: imbalance(&deployment),
+        imbalance,
         churn: churn(&before, &after),
-        double_runs: deployment.journal.double_runs(),
-        double_owners: deployment.journal.double_owners(),
+        double_runs,
+        double_owners,
         false_not_run: report
             .entries
             .values()
             .map(|tally| tally.false_refusals)
             .sum(),
-        overruns: deployment.journal.overruns(),
-        cpu_percent: cpu.as_secs_f64() / started.elapsed().as_secs_f64() * 100.0,
+        overruns,
+        cpu_percent: cpu.as_secs_f64() / took.as_secs_f64() * 100.0,
         store_reads,
         store_writes,
     })
@@ -215,33 +222,28 @@
     Ok(())
 }
 
-/// Latency of the same reads sent directly to one of the backend servers.
+/// Latency of the same load sent directly to backend servers that check nothing.
 async fn direct_latency(deployment: &Deployment, wanted: Wanted) -> Option<(u64, u64)> {
     if wanted.scenario != Scenario::Steady {
         return None;
     }
-    let http = amaranthshunt_platform::HttpClient::default();
+    let unchecked = deployment.backends.iter().map(BackendStandIn::options);
+    let addresses: Vec<SocketAddr> = unchecked
+        .filter(|options| !options.checks)
+        .map(|options| options.address)
+        .collect();
+    let http = Arc::new(HttpClient::default());
+    let gap = Duration::from_secs_f64(1.0 / wanted.rate);
+    let started = Instant::now();
+    let mut sendings = Vec::new();
+    for number in 0..(wanted.rate * wanted.seconds) as u32 {
+        task::sleep((gap * number).saturating_sub(started.elapsed())).await;
+        let address = addresses[number as usize % addresses.len()];
+        sendings.push(task::spawn(send_directly(http.clone(), address)));
+    }
     let mut histogram = hdrhistogram::Histogram::<u64>::new(3).ok()?;
-    let backend = deployment
-        .backends
-        .iter()
-        .find(|backend| !backend.options().checks)?;
-    let address = backend.options().address;
-    for _ in 0..400 {
-        let url = http_types::Url::parse(&format!("http://{address}/run/k0")).ok()?;
-        let mut request = http_types::Request::new(http_types::Method::Post, url);
-        for (name, value) in [("order-shard", "0"), ("order-token", "0")] {
-            request.insert_header(name, value);
-        }
-        request.insert_header("order-deadline", u64::MAX.to_string());
-        request.set_body("k0");
-        let started = Instant::now();
-        http.send(address, request, Duration::from_secs(1))
-            .await
-            .ok()?;
-        histogram
-            .record(started.elapsed().as_micros() as u64)
-            .ok()?;
+    for sending in sendings {
+        histogram.record(sending.await?.as_micros() as u64).ok()?;
     }
     Some((
         histogram.value_at_quantile(0.5),
@@ -249,13 +251,26 @@
     ))
 }
 
+async fn send_directly(http: Arc<HttpClient>, address: SocketAddr) -> Option<Duration> {
+    let url = http_types::Url::parse(&format!("http://{address}/run/k0")).ok()?;
+    let mut request = http_types::Request::new(http_types::Method::Post, url);
+    for (name, value) in [("order-shard", "0"), ("order-token", "0")] {
+        request.insert_header(name, value);
+    }
+    request.insert_header("order-deadline", u64::MAX.to_string());
+    request.set_body("k0");
+    let started = Instant::now();
+    let sent = http.send(address, request, Duration::from_secs(1)).await;
+    sent.ok().map(|_| started.elapsed())
+}
+
 /// Completed work of the busiest read server over the mean.
 fn imbalance(deployment: &Deployment) -> f64 {
     let completed: Vec<u64> = deployment
         .backends
         .iter()
         .filter(|backend| backend.options().entry == "catalogue")
-        .map(amaranthshunt_support::BackendStandIn::completed)
+        .map(BackendStandIn::completed)
         .collect();
     let total: u64 = completed.iter().sum();
     let busiest = completed.iter().max().copied().unwrap_or(0);
