Core: a provisional assignment is kept only under the term it names

Change: the message carries the sender's record term. Frames left in an older connection of a host are dropped once it has a newer one.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -411,10 +411,15 @@
             Message::HandoverTaken { id, taken } => self.take_handover_answer(from, id, taken),
             Message::Provision {
                 id,
+                term,
                 entry,
                 region,
                 owners,
-            } => self.take_provision(from, id, &entry, &region, &owners),
+            } => {
+                if id == 0 || self.is_open_ward_of(from, term) {
+                    self.take_provision(from, id, &entry, &region, &owners);
+                }
+            }
             Message::Provisioned { id } => self.take_provisioned(from, id),
             Message::Suspect {
                 fingerprint,
--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -149,6 +149,12 @@
         self.wards.get(&host).is_some_and(|ward| !ward.is_closed())
     }
 
+    /// Whether a host named this one as its successor under a term, and is not being taken over.
+    pub(super) fn is_open_ward_of(&self, host: HostId, term: u64) -> bool {
+        let ward = self.wards.get(&host);
+        ward.is_some_and(|ward| !ward.is_closed() && ward.term == term)
+    }
+
     pub(super) fn take_copy_kept(&mut self, from: HostId, sequence: u64) {
         if self.successor() != Some(from) {
             return;
--- a/crates/core/src/host/provisional.rs
+++ b/crates/core/src/host/provisional.rs
@@ -50,9 +50,6 @@
         region: &str,
         owners: &[(u32, String, Epoch)],
     ) {
-        if id != 0 && !self.is_open_ward(from) {
-            return;
-        }
         let entry = self.view.entries.intern(entry);
         let region = self.view.regions.intern(region);
         for (index, name, epoch) in owners {
@@ -127,6 +124,7 @@
             .collect();
         Some(Message::Provision {
             id,
+            term: self.own_term().unwrap_or_default(),
             entry: self.view.entries.name(info.entry).to_owned(),
             region: self.view.regions.name(info.region).to_owned(),
             owners,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -98,6 +98,8 @@
     Provision {
         /// The sender's number of the assignment; zero where no answer is wanted.
         id: u64,
+        /// The sender's record term; an answer is given only under that term.
+        term: u64,
         /// The entry's name.
         entry: String,
         /// The region's name.
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Links {
     outgoing: Mutex<HashMap<SocketAddr, Sender<Message>>>,
     addresses: Mutex<HashMap<HostId, SocketAddr>>,
+    incoming: Mutex<HashMap<HostId, u64>>,
     /// Bytes of control messages sent: everything but requests and their outcomes.
     pub(crate) control_bytes: AtomicU64,
 }
@@ -63,8 +64,20 @@
             .collect()
     }
 
-    fn learn(&self, hello: &Hello) {
+    /// Takes note of a new connection of a host, and returns its number.
+    fn learn(&self, hello: &Hello) -> u64 {
         lock(&self.addresses).insert(hello.from, hello.address);
+        let mut incoming = lock(&self.incoming);
+        let number = incoming.entry(hello.from).or_default();
+        *number += 1;
+        *number
+    }
+
+    /// Whether a connection is the newest one of its host.
+    ///
+    /// Frames left in an older one must not come behind those of the newer.
+    fn is_newest(&self, host: HostId, number: u64) -> bool {
+        lock(&self.incoming).get(&host) == Some(&number)
     }
 }
 
@@ -138,14 +151,17 @@
     let Some(Ok(Frame::Hello(hello))) = framed.next().await else {
         return;
     };
-    if let Some(node) = node.upgrade() {
-        node.links.learn(&hello);
-    }
+    let Some(number) = node.upgrade().map(|node| node.links.learn(&hello)) else {
+        return;
+    };
     while let Some(Ok(Frame::Message(message))) = framed.next().await {
         let Some(node) = node.upgrade() else {
             return;
         };
         let from = hello.from;
+        if !node.links.is_newest(from, number) {
+            return;
+        }
         node.tell(Event::Peer { from, message });
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -122,11 +122,13 @@
         }
         Message::Provision {
             id,
+            term,
             entry,
             region,
             owners,
         } => Body::Provision(proto::Provision {
             id,
+            term,
             entry,
             region,
             owners: owners
@@ -187,6 +189,7 @@
         },
         Body::Provision(provision) => Message::Provision {
             id: provision.id,
+            term: provision.term,
             entry: provision.entry,
             region: provision.region,
             owners: provision
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -241,6 +241,8 @@
     pub region: String,
     #[prost(message, repeated, tag = "4")]
     pub owners: Vec<Owner>,
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -68,7 +68,7 @@
     copy_kept = { message(Message::CopyKept { sequence: 3 }) },
     handover = { message(Message::Handover { id: 1, source: Token(2), server: "s".to_owned(), control: None, shards: vec![(1, Epoch(2))], ledger: ledger() }) },
     handover_taken = { message(Message::HandoverTaken { id: 1, taken: false }) },
-    provision = { message(Message::Provision { id: 1, entry: "e".to_owned(), region: "r".to_owned(), owners: vec![(1, "s".to_owned(), Epoch(2))] }) },
+    provision = { message(Message::Provision { id: 1, term: 3, entry: "e".to_owned(), region: "r".to_owned(), owners: vec![(1, "s".to_owned(), Epoch(2))] }) },
     provisioned = { message(Message::Provisioned { id: 1 }) },
     suspect = { message(Message::Suspect { fingerprint: 5, crashes: 1 }) },
 )]
