Core: a new successor gets time to promise; operators act more than once in the runs

Two hosts that succeed each other and are dead need an operator, and the run's operator acted only before their last write had landed. Change: silence counts from the change; a successor that failed is chosen again only when nobody else is left; the run declares lost hosts twice.

--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -158,6 +158,7 @@
         if successor != self.known_successor {
             self.known_successor = successor;
             self.validity.forget_promises();
+            self.promise_floor = self.now;
             let detail = successor.map_or_else(String::new, |host| host.to_string());
             self.log(Code::SuccessorChanged, name, detail);
             self.restart_copying();
@@ -350,12 +351,20 @@
         {
             return Some(current);
         }
-        let usable: Vec<HostId> = pool
-            .iter()
-            .copied()
-            .filter(|host| Some(*host) != current || pool.len() == 1)
-            .filter(|host| Some(*host) != self.failed_successor || pool.len() <= 2)
-            .collect();
+        let without = |hosts: &[HostId], left_out: Option<HostId>| -> Vec<HostId> {
+            let kept: Vec<HostId> = hosts
+                .iter()
+                .copied()
+                .filter(|host| Some(*host) != left_out)
+                .collect();
+            if kept.is_empty() {
+                hosts.to_vec()
+            } else {
+                kept
+            }
+        };
+        let others = without(&pool, current);
+        let usable = without(&others, self.failed_successor);
         let next = usable.iter().find(|host| **host > id);
         next.or(usable.first()).copied()
     }
--- a/crates/core/tests/core/fleet/faults.rs
+++ b/crates/core/tests/core/fleet/faults.rs
@@ -41,13 +41,8 @@
         }
     }
 
-    /// Ends every cut, pause and order, so that the fleet can settle.
-    pub(crate) fn heal(&mut self) {
-        self.jitter = false;
-        self.cuts.clear();
-        self.store_cuts.clear();
-        self.server_cuts.clear();
-        self.store.heal();
+    /// Does what operators do for hosts that stay on record and are gone.
+    pub(crate) fn declare_lost(&mut self) {
         for id in self.store.hosts_on_record() {
             let alive = self
                 .slots
@@ -57,6 +52,16 @@
                 self.write_order(&ObjectKey::order(&Subject::Lost(id)), true);
             }
         }
+    }
+
+    /// Ends every cut, pause and order, so that the fleet can settle.
+    pub(crate) fn heal(&mut self) {
+        self.jitter = false;
+        self.cuts.clear();
+        self.store_cuts.clear();
+        self.server_cuts.clear();
+        self.store.heal();
+        self.declare_lost();
         let orders: Vec<ObjectKey> = self.store.orders();
         for key in orders {
             if !key.0.contains("/lost/") {
--- a/crates/core/tests/core/random.rs
+++ b/crates/core/tests/core/random.rs
@@ -47,7 +47,9 @@
         println!("seed {seed}");
         let mut fleet = run_with_faults(&Shape::default(), seed, 25);
         fleet.heal();
-        fleet.run(Duration::from_secs(8));
+        fleet.run(Duration::from_secs(2));
+        fleet.declare_lost();
+        fleet.run(Duration::from_secs(6));
         let settled = fleet.now();
         fleet.run(Duration::from_secs(2));
         for entry in ["catalogue", "billing"] {
