Tests: a server lost together with a host ends its orders

Ruled out: the core; the program ends each order at its deadline. Change: the server is lost the same way as alone, and starts again after 2 s.

--- a/crates/core/tests/core/fleet/faults.rs
+++ b/crates/core/tests/core/fleet/faults.rs
@@ -78,7 +78,8 @@
             Fault::KillHost(slot) => self.kill_host(slot),
             Fault::KillBoth(slot, server) => {
                 self.kill_host(slot);
-                self.backends[server].stop();
+                self.kill_server(server);
+                self.at(now + 2_000_000, Action::StartServer(server));
             }
             Fault::LeaveHost(slot) => {
                 if let Some(id) = self.slots[slot].host.as_ref().map(Host::id) {
