Links count control bytes where they are encoded

Cause: reading the whole change: each control message was cloned and encoded a second time, only to be counted. Change: the length is taken from the write buffer between feed and flush. Behaviour is the same.

--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -119,14 +119,16 @@
             futures::future::Either::Left((message, _)) => message.ok()?,
             futures::future::Either::Right(_) => return None,
         };
-        if is_control(&message) {
-            let length = encoded_length(&message);
+        let control = is_control(&message);
+        framed.feed(Frame::Message(message)).await.ok()?;
+        if control {
+            let length = framed.write_buffer().len() as u64;
             let node = node.upgrade()?;
             node.links
                 .control_bytes
                 .fetch_add(length, Ordering::Relaxed);
         }
-        framed.send(Frame::Message(message)).await.ok()?;
+        SinkExt::<Frame>::flush(&mut framed).await.ok()?;
     }
 }
 
@@ -134,14 +136,6 @@
     !matches!(message, Message::Forward { .. } | Message::Outcome { .. })
 }
 
-fn encoded_length(message: &Message) -> u64 {
-    use tokio_util::codec::Encoder;
-    let mut bytes = bytes::BytesMut::new();
-    let frame = Frame::Message(message.clone());
-    let _ = FrameCodec::default().encode(frame, &mut bytes);
-    bytes.len() as u64
-}
-
 /// Reads frames of another host until the connection ends or a frame is bad.
 pub(crate) async fn read_link(node: Weak<Node>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
