Hosts without the store go on asking their seeds

A host without the store asked its seed addresses only while it knew nothing. Where its first answer came from a seed that had read the catalogue but no region record yet, it knew no other host and asked nobody again. The log of a failed run shows it: started, store silent, then nothing for 20 s.

Ruled out: connections (the host's links were open and its own frames arrived), the announcement of writes (they go to hosts on record only, which it never is).

Change: seeds are asked while no other host is known, and again when none was heard for 1.2 s; the second case is a host whose known peers were all replaced while it was cut off. Two tests in tests/core/host.rs cause both; both fail on the code before and pass now.

Also: the log sink wrote the libraries' TRACE lines in debug builds; the level is now Info.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -57,6 +57,8 @@
 const BALANCING: Duration = Duration::from_millis(200);
 /// Time between two comparisons of configuration revisions.
 const GOSSIP: Duration = Duration::from_millis(400);
+/// Time without a message of any host after which the seed addresses are tried again.
+const ISOLATION: Duration = Duration::from_millis(1_200);
 /// Time between two sweeps of expired records.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Time for which a server whose host declined a hand-over is left out of plans.
@@ -76,6 +78,7 @@
     promise_floor: Time,
     wards: BTreeMap<HostId, Ward>,
     failed_successor: Option<HostId>,
+    peer_heard: Time,
     known_successor: Option<HostId>,
     on_record: bool,
     storage: Storage,
@@ -126,6 +129,7 @@
             promise_floor: Time::ZERO,
             wards: BTreeMap::new(),
             failed_successor: None,
+            peer_heard: now,
             known_successor: None,
             on_record: false,
             storage: Storage::default(),
@@ -371,6 +375,7 @@
     }
 
     fn take_message(&mut self, from: HostId, message: Message) {
+        self.peer_heard = self.now;
         match message {
             Message::Heartbeat {
                 sent,
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -7,7 +7,7 @@
 use rand::RngCore;
 use serde::Serialize;
 
-use super::{GOSSIP, Host};
+use super::{GOSSIP, Host, ISOLATION};
 use crate::event::{Effect, StoreCall, StoreResult};
 use crate::ids::{CallId, EntryKey, HostId, RegionKey, Revision, ServerKey, Token};
 use crate::log::Code;
@@ -236,11 +236,12 @@
             .flat_map(|record| record.hosts.keys().copied())
             .filter(|host| *host != self.settings.id)
             .collect();
+        let alone = peers.is_empty() || self.now.since(self.peer_heard) > ISOLATION;
         if !peers.is_empty() {
             let peer = peers[self.random(peers.len())];
             self.send(peer, Message::Pull { after });
         }
-        if after == Revision(0) {
+        if alone || after == Revision(0) {
             for address in self.settings.seeds.clone() {
                 let message = Message::Pull { after };
                 self.effects.push(Effect::Probe { address, message });
--- a/crates/core/tests/core/host.rs
+++ b/crates/core/tests/core/host.rs
@@ -6,6 +6,7 @@
 use amaranthshunt_core::event::{StoreCall, StoreResult};
 use amaranthshunt_core::ids::{CallId, Revision};
 use amaranthshunt_core::object::{Object, ObjectKey};
+use amaranthshunt_core::record::{HostRecord, RegionRecord};
 use amaranthshunt_core::trace::{Step, Trace};
 use amaranthshunt_core::{
     Effect, Event, Host, HostId, HostSettings, Outcome, Refusal, Request, RequestId, Time, Timing,
@@ -214,3 +215,87 @@
     assert_eq!(replayed[2..], recorded);
     assert_eq!(Trace::outcomes_of(&replayed), read.outcomes);
 }
+
+/// A host that reaches no store and knows one seed address.
+fn blind() -> Host {
+    let seeds = vec!["127.0.0.1:7001".parse().unwrap()];
+    let mut host = Host::new(
+        HostSettings {
+            seeds,
+            ..settings()
+        },
+        1,
+        start(),
+    );
+    let call = watch_of(&host.handle(start(), Event::Tick));
+    let result = StoreResult::Failed;
+    host.handle(start(), Event::Store { call, result });
+    host
+}
+
+fn region(revision: u64, host: HostId) -> Object {
+    let record = RegionRecord {
+        hosts: BTreeMap::from([(
+            host,
+            HostRecord {
+                name: "h1".to_owned(),
+                domain: "este/e1".parse().unwrap(),
+                address: "127.0.0.1:7002".parse().unwrap(),
+                successor: None,
+                term: 0,
+            },
+        )]),
+        control: BTreeMap::new(),
+    };
+    Object {
+        key: ObjectKey::region("este"),
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(&record).unwrap().into()),
+    }
+}
+
+fn told(objects: Vec<Object>) -> Event {
+    let complete = objects.iter().map(|object| object.revision).max().unwrap();
+    Event::Peer {
+        from: HostId(2),
+        message: amaranthshunt_core::Message::Delta { objects, complete },
+    }
+}
+
+/// Whether a host asks a seed address within a span of time.
+fn asks_seeds(host: &mut Host, from: Time, span: std::time::Duration) -> bool {
+    let mut now = from;
+    let mut asked = false;
+    while now < from + span {
+        let effects = host.handle(now, Event::Tick);
+        asked |= effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Probe { .. }));
+        now = now + std::time::Duration::from_millis(50);
+    }
+    asked
+}
+
+#[test]
+fn a_host_that_was_told_of_no_other_host_goes_on_asking_its_seeds() {
+    let mut host = blind();
+    host.handle(
+        start(),
+        told(vec![object(1, &entry("catalogue", Class::Read))]),
+    );
+    let span = std::time::Duration::from_secs(1);
+    assert!(asks_seeds(&mut host, start(), span));
+}
+
+#[test]
+fn a_host_whose_known_hosts_are_all_silent_asks_its_seeds_again() {
+    let mut host = blind();
+    let objects = vec![
+        object(1, &entry("catalogue", Class::Read)),
+        region(2, HostId(2)),
+    ];
+    host.handle(start(), told(objects));
+    let second = std::time::Duration::from_secs(1);
+    assert!(!asks_seeds(&mut host, start(), second), "it knows a host");
+    assert!(asks_seeds(&mut host, start() + second, second * 2));
+}
--- a/crates/host/src/telemetry.rs
+++ b/crates/host/src/telemetry.rs
@@ -11,11 +11,17 @@
 /// The prefix of every metric.
 const PREFIX: &str = "amaranthshunt";
 
+/// The most detailed level that is written.
+///
+/// The libraries trace each task and each socket; only what a person on call acts on is kept.
+const DETAIL: log::LevelFilter = log::LevelFilter::Info;
+
 /// Sends log lines to standard output as JSON, one object a line.
 pub(crate) fn start_logs() {
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.append(Stdout::default().with_layout(JsonLayout::default())))
         .apply();
+    log::set_max_level(DETAIL);
 }
 
 /// Writes one line of the event catalogue.
