Copies without gaps; a claim is known by its first token

Cause: a cut lost the copy of its record; the next copy came through and was acknowledged, and the sender took that for all copies up to it, so the request ran without a record at the successor. The successor then took over and knew nothing. Ruled out: the tenure check (epoch and token fit), the copy's term (it was the right one). Change: a successor that misses a number in the sequence of copies no longer counts its copy as complete, and answers "copy broken"; the sender then sends everything again. Test: a_copy_behind_a_lost_one_is_not_kept.

Cause: a host's claim took effect, the watch told of it before the write's own answer did, and the mark "claimed" set by the late answer stayed. The next time the host gained that server it was by takeover, which the stale mark made it skip the wait of. Change: a claim is told by the record's first token, and the mark is gone. Test: a_claim_that_was_confirmed_late_does_not_shorten_a_later_takeover.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -88,7 +88,6 @@
     servers_by_exchange: HashMap<ExchangeId, ServerKey>,
     servers_by_call: HashMap<CallId, ServerKey>,
     touched: BTreeSet<ServerKey>,
-    claimed: BTreeSet<ServerKey>,
     ledger: Ledger,
     copying: Copying,
     kept: BTreeMap<HostId, KeptCopy>,
@@ -140,7 +139,6 @@
             servers_by_exchange: HashMap::new(),
             servers_by_call: HashMap::new(),
             touched: BTreeSet::new(),
-            claimed: BTreeSet::new(),
             ledger: Ledger::default(),
             copying: Copying::default(),
             kept: BTreeMap::new(),
@@ -401,6 +399,7 @@
                 ledger,
             } => self.keep_copy(from, sequence, full, ledger),
             Message::CopyKept { sequence } => self.take_copy_kept(from, sequence),
+            Message::CopyBroken { sequence } => self.mend_copy(from, sequence),
             Message::Handover {
                 id,
                 source,
--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Copying {
     sequence: u64,
+    /// The copy that carried everything last.
+    full: u64,
     kept: u64,
     held: VecDeque<Held>,
 }
@@ -28,11 +30,16 @@
 }
 
 /// The ledger of a host that named this one as its successor.
+///
+/// It is complete only without a gap in the copies since the last full one; a link that breaks
+/// loses what it had, and the next copy over a new one must not be taken for all of them.
 #[derive(Debug, Default)]
 pub(super) struct KeptCopy {
     ledger: Ledger,
     /// The term of the record under which the copy is complete.
     term: Option<u64>,
+    /// The newest copy that came.
+    sequence: u64,
 }
 
 impl KeptCopy {
@@ -52,6 +59,7 @@
     pub(super) fn restart_copying(&mut self) {
         let ledger = self.whole_ledger();
         self.send_copy(self.own_term(), ledger);
+        self.copying.full = self.copying.sequence;
         if self.successor().is_none() {
             self.release_held(u64::MAX);
         }
@@ -127,17 +135,34 @@
         part: LedgerPart,
     ) {
         let mut copy = self.kept.remove(&from).unwrap_or_default();
+        let gap = sequence != copy.sequence + 1;
         if full.is_some() {
-            copy = KeptCopy {
-                ledger: Ledger::default(),
-                term: full,
-            };
+            copy.ledger = Ledger::default();
+            copy.term = full;
+        } else if gap {
+            copy.term = None;
         }
+        copy.sequence = sequence;
         let usable = copy.term.is_some();
         self.merge_part(&mut copy.ledger, part);
         self.kept.insert(from, copy);
-        if usable && self.is_open_ward(from) {
-            self.send(from, Message::CopyKept { sequence });
+        if !self.is_open_ward(from) {
+            return;
+        }
+        let message = if usable {
+            Message::CopyKept { sequence }
+        } else {
+            Message::CopyBroken { sequence }
+        };
+        self.send(from, message);
+    }
+
+    /// Sends everything again to a successor that missed a copy.
+    ///
+    /// Copies sent before the last full one may still be complained of; they are covered.
+    pub(super) fn mend_copy(&mut self, from: HostId, sequence: u64) {
+        if self.successor() == Some(from) && sequence > self.copying.full {
+            self.restart_copying();
         }
     }
 
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -169,7 +169,7 @@
             return;
         };
         let token = record.token;
-        let gain = if self.claimed.remove(&server) {
+        let gain = if token == Token::FIRST {
             Gain::Claimed
         } else if record.released {
             Gain::Released
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -238,13 +238,12 @@
         let mut record = old.clone();
         let mut write = RegionWrite {
             taken: Vec::new(),
-            claimed: Vec::new(),
             succession: false,
         };
         self.plan_takeovers(&mut record, &mut write);
         self.plan_handovers(&mut record);
         self.plan_own_host(&mut record, &mut write);
-        self.plan_claims(&mut record, &mut write);
+        self.plan_claims(&mut record);
         self.plan_tokens(&mut record);
         if record != old {
             self.write(key, revision, &record, Purpose::Region(write));
@@ -375,7 +374,7 @@
         self.now.since(since) > self.timing().validity * REPLACE
     }
 
-    fn plan_claims(&self, record: &mut RegionRecord, write: &mut RegionWrite) {
+    fn plan_claims(&self, record: &mut RegionRecord) {
         if self.leaving || !record.hosts.contains_key(&self.settings.id) {
             return;
         }
@@ -384,7 +383,7 @@
             let listed = known.is_some_and(|server| self.view.servers.get(server).is_some());
             listed || control.host != self.settings.id
         });
-        for (server, info) in self.view.servers.iter() {
+        for (_, info) in self.view.servers.iter() {
             let here = info.spec.domain.region() == self.region();
             if !here || record.control.contains_key(&info.spec.name) {
                 continue;
@@ -394,11 +393,10 @@
             }
             let control = ControlRecord {
                 host: self.settings.id,
-                token: Token(1),
+                token: Token::FIRST,
                 released: false,
             };
             record.control.insert(info.spec.name.clone(), control);
-            write.claimed.push(server);
         }
     }
 
@@ -416,8 +414,7 @@
         }
     }
 
-    pub(super) fn note_claims(&mut self, write: &RegionWrite) {
-        self.claimed.extend(write.claimed.iter().copied());
+    pub(super) fn note_heirs(&mut self, write: &RegionWrite) {
         for (server, _) in self.view.servers.iter() {
             let Some(host) = self.view.controller(server) else {
                 continue;
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -65,8 +65,6 @@
 pub(super) struct RegionWrite {
     /// Hosts that are taken over, with the terms of their records.
     pub(super) taken: Vec<(HostId, u64)>,
-    /// Servers that had no controller.
-    pub(super) claimed: Vec<ServerKey>,
     /// Whether this host's successor changes.
     pub(super) succession: bool,
 }
@@ -368,7 +366,7 @@
     fn complete_write(&mut self, purpose: Purpose, sent: Time, object: &Object) {
         match purpose {
             Purpose::Region(region) => {
-                self.note_claims(&region);
+                self.note_heirs(&region);
                 self.learn(std::slice::from_ref(object), None);
                 self.complete_region_write(&region, sent);
             }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -61,6 +61,11 @@
     ServerKey(u32)
 }
 
+impl Token {
+    /// The token of a control that nobody had before.
+    pub const FIRST: Self = Self(1);
+}
+
 /// One shard of one catalogue entry in one region.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ShardKey {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -72,6 +72,11 @@
         /// The sequence number.
         sequence: u64,
     },
+    /// A copy came without those before it, so everything has to be sent again.
+    CopyBroken {
+        /// The sequence number of the copy that came.
+        sequence: u64,
+    },
     /// Shards that come under the receiver's control, with their records.
     Handover {
         /// The sender's number of the hand-over.
--- a/crates/core/tests/core/host.rs
+++ b/crates/core/tests/core/host.rs
@@ -3,13 +3,16 @@
 use std::collections::BTreeMap;
 
 use amaranthshunt_core::catalogue::{Class, Entry, Limits, Server};
+use amaranthshunt_core::control::Phase;
 use amaranthshunt_core::event::{StoreCall, StoreResult};
-use amaranthshunt_core::ids::{CallId, Revision};
+use amaranthshunt_core::ids::{CallId, Revision, Token};
+use amaranthshunt_core::message::LedgerPart;
 use amaranthshunt_core::object::{Object, ObjectKey};
 use amaranthshunt_core::record::{HostRecord, RegionRecord};
 use amaranthshunt_core::trace::{Step, Trace};
 use amaranthshunt_core::{
-    Effect, Event, Host, HostId, HostSettings, Outcome, Refusal, Request, RequestId, Time, Timing,
+    Effect, Event, Host, HostId, HostSettings, Message, Outcome, Refusal, Request, RequestId, Time,
+    Timing,
 };
 use bytes::Bytes;
 use yare::parameterized;
@@ -163,7 +166,7 @@
     let (mut host, _) = informed();
     let mut older = entry("catalogue", Class::Read);
     older.owner = "somebody else".to_owned();
-    let delta = amaranthshunt_core::Message::Delta {
+    let delta = Message::Delta {
         objects: vec![object(1, &older)],
         complete: Revision(1),
     };
@@ -258,7 +261,7 @@
     let complete = objects.iter().map(|object| object.revision).max().unwrap();
     Event::Peer {
         from: HostId(2),
-        message: amaranthshunt_core::Message::Delta { objects, complete },
+        message: Message::Delta { objects, complete },
     }
 }
 
@@ -299,3 +302,112 @@
     assert!(!asks_seeds(&mut host, start(), second), "it knows a host");
     assert!(asks_seeds(&mut host, start() + second, second * 2));
 }
+
+/// A successor of host 2 that has its region's record from the store.
+fn successor_of_two() -> Host {
+    let (mut host, _) = informed();
+    let own = HostRecord {
+        name: "h0".to_owned(),
+        domain: "este/e1".parse().unwrap(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        successor: None,
+        term: 0,
+    };
+    let ward = HostRecord {
+        name: "h1".to_owned(),
+        successor: Some(HostId(1)),
+        term: 5,
+        ..own.clone()
+    };
+    let record = RegionRecord {
+        hosts: BTreeMap::from([(HostId(1), own), (HostId(2), ward)]),
+        control: BTreeMap::new(),
+    };
+    let object = Object {
+        key: ObjectKey::region("este"),
+        revision: Revision(3),
+        value: Some(serde_json::to_vec(&record).unwrap().into()),
+    };
+    host.handle(start(), told(vec![object]));
+    host
+}
+
+fn copy_answer(host: &mut Host, sequence: u64, full: Option<u64>) -> Message {
+    let message = Message::Copy {
+        sequence,
+        full,
+        ledger: LedgerPart::default(),
+    };
+    let from = HostId(2);
+    let effects = host.handle(start(), Event::Peer { from, message });
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        Effect::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    answer.expect("a copy is answered")
+}
+
+#[test]
+fn a_copy_behind_a_lost_one_is_not_kept() {
+    let mut host = successor_of_two();
+    let full = copy_answer(&mut host, 7, Some(5));
+    let next = copy_answer(&mut host, 8, None);
+    let behind = copy_answer(&mut host, 10, None);
+    let after = copy_answer(&mut host, 11, None);
+    let again = copy_answer(&mut host, 12, Some(5));
+    assert_eq!(full, Message::CopyKept { sequence: 7 });
+    assert_eq!(next, Message::CopyKept { sequence: 8 });
+    assert_eq!(behind, Message::CopyBroken { sequence: 10 });
+    assert_eq!(after, Message::CopyBroken { sequence: 11 });
+    assert_eq!(again, Message::CopyKept { sequence: 12 });
+}
+
+fn put_of(effects: &[Effect], wanted: &ObjectKey) -> (CallId, Bytes) {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::Store {
+            call,
+            call_kind: StoreCall::Put { key, value, .. },
+        } if key == wanted => Some((*call, value.clone())),
+        _ => None,
+    });
+    found.expect("the host writes the record")
+}
+
+fn controlled_by(record: &RegionRecord, host: HostId, token: u64, revision: u64) -> Event {
+    let mut record = record.clone();
+    for control in record.control.values_mut() {
+        control.host = host;
+        control.token = Token(token);
+    }
+    let object = Object {
+        key: ObjectKey::region("este"),
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(&record).unwrap().into()),
+    };
+    told(vec![object])
+}
+
+#[test]
+fn a_claim_that_was_confirmed_late_does_not_shorten_a_later_takeover() {
+    let mut host = Host::new(settings(), 1, start());
+    let call = watch_of(&host.handle(start(), Event::Tick));
+    let mut unchecked = entry("catalogue", Class::Read);
+    unchecked.servers[0].checks = false;
+    let result = StoreResult::Changes {
+        objects: vec![object(1, &unchecked)],
+        complete: Revision(1),
+    };
+    let effects = host.handle(start(), Event::Store { call, result });
+    let (call, value) = put_of(&effects, &ObjectKey::region("este"));
+    let claim: RegionRecord = serde_json::from_slice(&value).unwrap();
+    host.handle(start(), controlled_by(&claim, HostId(1), 1, 2));
+    let result = StoreResult::Written(Revision(2));
+    host.handle(start(), Event::Store { call, result });
+    host.handle(start(), controlled_by(&claim, HostId(2), 2, 3));
+    host.handle(start(), controlled_by(&claim, HostId(1), 3, 4));
+    let phase = host.controls().next().unwrap().phase;
+    assert!(
+        matches!(phase, Phase::Waiting(until) if until > start()),
+        "{phase:?}"
+    );
+}
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -97,6 +97,7 @@
             ledger: Some(ledger_of(ledger)),
         }),
         Message::CopyKept { sequence } => Body::CopyKept(sequence),
+        Message::CopyBroken { sequence } => Body::CopyBroken(sequence),
         Message::Handover {
             id,
             source,
@@ -180,6 +181,7 @@
             ledger: read_ledger(copy.ledger)?,
         },
         Body::CopyKept(sequence) => Message::CopyKept { sequence },
+        Body::CopyBroken(sequence) => Message::CopyBroken { sequence },
         Body::Handover(handover) => read_handover(handover)?,
         Body::HandoverTaken(answer) => Message::HandoverTaken {
             id: answer.id,
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -9,7 +9,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub body: Option<Body>,
 }
 
@@ -43,6 +43,8 @@
     Provisioned(u64),
     #[prost(message, tag = "14")]
     Suspect(Suspect),
+    #[prost(uint64, tag = "15")]
+    CopyBroken(u64),
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -67,6 +67,7 @@
     delta = { message(Message::Delta { objects: vec![Object { key: ObjectKey("cfg/entry/a".to_owned()), revision: Revision(4), value: None }], complete: Revision(6) }) },
     copy = { message(Message::Copy { sequence: 3, full: Some(0), ledger: ledger() }) },
     copy_kept = { message(Message::CopyKept { sequence: 3 }) },
+    copy_broken = { message(Message::CopyBroken { sequence: 4 }) },
     handover = { message(Message::Handover { id: 1, source: Token(2), server: "s".to_owned(), control: None, shards: vec![(1, Epoch(2))], ledger: ledger() }) },
     handover_taken = { message(Message::HandoverTaken { id: 1, taken: false }) },
     provision = { message(Message::Provision { id: 1, term: 3, entry: "e".to_owned(), region: "r".to_owned(), owners: vec![(1, "s".to_owned(), Epoch(2))] }) },
