A hand-over from a host that was passed by is declined

Cause: a host that was paused in the middle of a hand-over of control offered it when it went on, two successions later. The receiver, which had just gained the server from the real controller, let the old records replace those that came with its control, and found no record of a request that had run.

Ruled out: ledger parts left open from an earlier tenure (closed when control was lost, seen in a trace of every opening and closing of the shard), records lost on the way (the first offer carried the record).

Change: an offer of control is taken only from the latest controller known, by the record's token and by other offers kept; and records are opened only under the control that they came with. Test: a_hand_over_of_control_that_has_gone_on_is_declined (host.rs).

--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -266,8 +266,10 @@
         for (index, epoch) in granted {
             let shard = self.shard(entry, region, *index);
             let incoming = self.incoming.remove(&shard);
-            let fitting =
-                incoming.filter(|incoming| incoming.epoch == *epoch && incoming.server == server);
+            let fitting = incoming.filter(|incoming| {
+                let control = incoming.control.is_none_or(|given| given == token);
+                incoming.epoch == *epoch && incoming.server == server && control
+            });
             if !self.ledger.is_open(shard)
                 && let Some(mut incoming) = fitting
             {
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -297,7 +297,7 @@
             return false;
         }
         if offer.control.is_some() {
-            return true;
+            return self.is_latest(server, offer);
         }
         let control = self.controls.get(&server);
         let usable = control.is_some_and(|control| {
@@ -306,6 +306,20 @@
         usable && self.view.is_eligible(server) && self.is_news(server, offer)
     }
 
+    /// Whether an offer of control comes from the latest controller known.
+    ///
+    /// A host that was paused may offer what has long gone on from its successor.
+    fn is_latest(&self, server: ServerKey, offer: &Offer) -> bool {
+        let record = self.view.control_record(server);
+        let mut offered = self.incoming.values();
+        let later = offered.any(|incoming| {
+            incoming.server == server
+                && incoming.control.is_some()
+                && incoming.source > offer.source
+        });
+        !later && record.is_none_or(|record| record.token <= offer.source)
+    }
+
     /// Whether the shards of an offer have not come to their new owner yet, nor been offered by
     /// a later controller of their old one.
     fn is_news(&self, server: ServerKey, offer: &Offer) -> bool {
--- a/crates/core/tests/core/host.rs
+++ b/crates/core/tests/core/host.rs
@@ -8,7 +8,7 @@
 use amaranthshunt_core::ids::{CallId, Revision, Token};
 use amaranthshunt_core::message::LedgerPart;
 use amaranthshunt_core::object::{Object, ObjectKey};
-use amaranthshunt_core::record::{HostRecord, RegionRecord};
+use amaranthshunt_core::record::{ControlRecord, HostRecord, RegionRecord};
 use amaranthshunt_core::trace::{Step, Trace};
 use amaranthshunt_core::{
     Effect, Event, Host, HostId, HostSettings, Message, Outcome, Refusal, Request, RequestId, Time,
@@ -237,24 +237,12 @@
 }
 
 fn region(revision: u64, host: HostId) -> Object {
+    let other = two_hosts().hosts.remove(&HostId(2)).unwrap();
     let record = RegionRecord {
-        hosts: BTreeMap::from([(
-            host,
-            HostRecord {
-                name: "h1".to_owned(),
-                domain: "este/e1".parse().unwrap(),
-                address: "127.0.0.1:7002".parse().unwrap(),
-                successor: None,
-                term: 0,
-            },
-        )]),
+        hosts: BTreeMap::from([(host, other)]),
         control: BTreeMap::new(),
     };
-    Object {
-        key: ObjectKey::region("este"),
-        revision: Revision(revision),
-        value: Some(serde_json::to_vec(&record).unwrap().into()),
-    }
+    region_object(&record, revision)
 }
 
 fn told(objects: Vec<Object>) -> Event {
@@ -303,9 +291,8 @@
     assert!(asks_seeds(&mut host, start() + second, second * 2));
 }
 
-/// A successor of host 2 that has its region's record from the store.
-fn successor_of_two() -> Host {
-    let (mut host, _) = informed();
+/// This host and host 2, which has named it as its successor.
+fn two_hosts() -> RegionRecord {
     let own = HostRecord {
         name: "h0".to_owned(),
         domain: "este/e1".parse().unwrap(),
@@ -319,15 +306,24 @@
         term: 5,
         ..own.clone()
     };
-    let record = RegionRecord {
+    RegionRecord {
         hosts: BTreeMap::from([(HostId(1), own), (HostId(2), ward)]),
         control: BTreeMap::new(),
-    };
-    let object = Object {
+    }
+}
+
+fn region_object(record: &RegionRecord, revision: u64) -> Object {
+    Object {
         key: ObjectKey::region("este"),
-        revision: Revision(3),
-        value: Some(serde_json::to_vec(&record).unwrap().into()),
-    };
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(record).unwrap().into()),
+    }
+}
+
+/// A successor of host 2 that has its region's record from the store.
+fn successor_of_two() -> Host {
+    let (mut host, _) = informed();
+    let object = region_object(&two_hosts(), 3);
     host.handle(start(), told(vec![object]));
     host
 }
@@ -379,12 +375,7 @@
         control.host = host;
         control.token = Token(token);
     }
-    let object = Object {
-        key: ObjectKey::region("este"),
-        revision: Revision(revision),
-        value: Some(serde_json::to_vec(&record).unwrap().into()),
-    };
-    told(vec![object])
+    told(vec![region_object(&record, revision)])
 }
 
 #[test]
@@ -411,3 +402,61 @@
         "{phase:?}"
     );
 }
+
+/// Ticks until the host reads its region's record, and answers with it.
+fn make_valid(host: &mut Host, object: &Object) -> Time {
+    let mut now = start();
+    loop {
+        let effects = host.handle(now, Event::Tick);
+        let read = effects.iter().find_map(|effect| match effect {
+            Effect::Store {
+                call,
+                call_kind: StoreCall::Get { key },
+            } if *key == object.key => Some(*call),
+            _ => None,
+        });
+        if let Some(call) = read {
+            let result = StoreResult::Read(object.clone());
+            host.handle(now, Event::Store { call, result });
+            assert!(host.is_valid());
+            return now;
+        }
+        now = now + std::time::Duration::from_millis(50);
+    }
+}
+
+fn takes_control(host: &mut Host, now: Time, source: u64) -> bool {
+    let message = Message::Handover {
+        id: source,
+        source: Token(source),
+        server: "catalogue-0".to_owned(),
+        control: Some(Token(source + 1)),
+        shards: Vec::new(),
+        ledger: LedgerPart::default(),
+    };
+    let from = HostId(2);
+    let effects = host.handle(now, Event::Peer { from, message });
+    effects.iter().any(|effect| match effect {
+        Effect::Send { message, .. } => {
+            matches!(message, Message::HandoverTaken { taken: true, .. })
+        }
+        _ => false,
+    })
+}
+
+#[test]
+fn a_hand_over_of_control_that_has_gone_on_is_declined() {
+    let (mut host, _) = informed();
+    let control = ControlRecord {
+        host: HostId(2),
+        token: Token(13),
+        released: false,
+    };
+    let mut record = two_hosts();
+    record.control.insert("catalogue-0".to_owned(), control);
+    let object = region_object(&record, 3);
+    host.handle(start(), told(vec![object.clone()]));
+    let now = make_valid(&mut host, &object);
+    assert!(!takes_control(&mut host, now, 11));
+    assert!(takes_control(&mut host, now, 13));
+}
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -9,7 +9,10 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub body: Option<Body>,
 }
 
