A move that the store may know is not replaced

Cause, from a trace of placement writes: a move was written, the reply was lost in a cut, and the repetition met a conflict with its own first attempt. Then the server was lost, and its evacuation replaced the move by one to another server; with the store out of reach it went on provisionally, under the same epoch. Ruled out: the conditional update (the store did the right thing each time), the successor's guard.

Change: an evacuation leaves a move alone that has come to its write; the rest of the shards follow it. The invariant WrittenMoveStands asserts it in the program.

--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -60,6 +60,12 @@
         self.controls.get_mut(&server)?.moving.as_mut()
     }
 
+    /// Whether a move off the server has come so far that the store may know it.
+    pub(super) fn is_written(&self, server: ServerKey) -> bool {
+        self.moving(server)
+            .is_some_and(|moving| moving.step == MoveStep::Writing)
+    }
+
     pub(super) fn begin_move(&mut self, server: ServerKey, plan: Plan, step: MoveStep) {
         let Some(info) = self.view.servers.get(server) else {
             return;
@@ -67,6 +73,7 @@
         if plan.is_empty() {
             return;
         }
+        ensure(Invariant::WrittenMoveStands, !self.is_written(server));
         let (entry, region) = (info.entry, info.region);
         let mut shards = BTreeMap::new();
         for (index, target) in plan {
--- a/crates/core/src/host/planning.rs
+++ b/crates/core/src/host/planning.rs
@@ -91,9 +91,14 @@
     }
 
     /// Moves everything off a lost server.
+    ///
+    /// A move that may be in the store already goes on; the rest follows it.
     pub(super) fn evacuate(&mut self, server: ServerKey) {
         self.abandon_running(server);
         self.bounce_waiting(server, |_| true);
+        if self.is_written(server) {
+            return;
+        }
         let plan = self.plan_for(server);
         self.begin_move(server, plan, MoveStep::Handing);
     }
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -21,6 +21,8 @@
     HomeRegions,
     /// A shard leaves a server only after its release or the end of its lease.
     ReleasedFirst,
+    /// A move whose new owners may be in the store is never replaced by another one.
+    WrittenMoveStands,
     /// A promise is never given while a takeover is under way.
     PromiseKept,
     /// A server taken out is ordered nothing once its shards have left.
