A host called lost is left to its successor while there is one

Cause: a host assigned owners provisionally while its domain was cut off, and was killed; the operator's order "host lost" let any host take over from it, and one did that had never heard of those owners. Its successor, which keeps them, was alive. Ruled out: a takeover by silence (only the successor may), gossip of provisional owners (the cut was still on).

Change: an order "host lost" is acted on by the lost host's successor; by others only once the successor has left the record or was called lost as well. Test: a_host_called_lost_is_left_to_its_successor_while_there_is_one.

--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -263,7 +263,7 @@
             .map(|ward| (ward.host, ward.term))
             .collect();
         for (id, host) in &record.hosts {
-            let lost = self.view.is_out(&Subject::Lost(*id)) && *id != self.settings.id;
+            let lost = self.view.is_out(&Subject::Lost(*id)) && self.is_heir_of(*id, record);
             if lost && !taken.iter().any(|(known, _)| known == id) {
                 taken.push((*id, host.term));
             }
@@ -274,6 +274,19 @@
         write.taken = taken;
     }
 
+    /// Whether this host is to act for a host that operators called lost.
+    ///
+    /// Its successor keeps what the store does not know, so the others act only once that one
+    /// has left the record or was called lost as well.
+    fn is_heir_of(&self, lost: HostId, record: &RegionRecord) -> bool {
+        let id = self.settings.id;
+        let successor = record.hosts.get(&lost).and_then(|host| host.successor);
+        let present = successor.filter(|heir| {
+            record.hosts.contains_key(heir) && !self.view.is_out(&Subject::Lost(*heir))
+        });
+        lost != id && present.is_none_or(|heir| heir == id)
+    }
+
     /// Puts this host in the place of another one, as controller and as successor.
     fn take_over(&self, lost: HostId, record: &mut RegionRecord) {
         record.hosts.remove(&lost);
--- a/crates/core/tests/core/host.rs
+++ b/crates/core/tests/core/host.rs
@@ -8,7 +8,7 @@
 use amaranthshunt_core::ids::{CallId, Revision, Token};
 use amaranthshunt_core::message::LedgerPart;
 use amaranthshunt_core::object::{Object, ObjectKey};
-use amaranthshunt_core::record::{ControlRecord, HostRecord, RegionRecord};
+use amaranthshunt_core::record::{ControlRecord, HostRecord, OrderRecord, RegionRecord, Subject};
 use amaranthshunt_core::trace::{Step, Trace};
 use amaranthshunt_core::{
     Effect, Event, Host, HostId, HostSettings, Message, Outcome, Refusal, Request, RequestId, Time,
@@ -460,3 +460,52 @@
     assert!(!takes_control(&mut host, now, 11));
     assert!(takes_control(&mut host, now, 13));
 }
+
+fn lost(host: HostId, revision: u64) -> Event {
+    let order = OrderRecord {
+        out: true,
+        operator: "test".to_owned(),
+    };
+    told(vec![Object {
+        key: ObjectKey::order(&Subject::Lost(host)),
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(&order).unwrap().into()),
+    }])
+}
+
+fn writes_region(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| match effect {
+        Effect::Store {
+            call_kind: StoreCall::Put { key, .. },
+            ..
+        } => *key == ObjectKey::region("este"),
+        _ => false,
+    })
+}
+
+#[test]
+fn a_host_called_lost_is_left_to_its_successor_while_there_is_one() {
+    let mut record = two_hosts();
+    let third = record.hosts[&HostId(1)].clone();
+    record.hosts.insert(HostId(3), third);
+    for (host, successor) in [(1, 3), (2, 3), (3, 1)] {
+        let kept = record.hosts.get_mut(&HostId(host)).unwrap();
+        kept.successor = Some(HostId(successor));
+    }
+    let control = ControlRecord {
+        host: HostId(2),
+        token: Token(2),
+        released: false,
+    };
+    record.control.insert("catalogue-0".to_owned(), control);
+    let mut host = Host::new(settings(), 1, start());
+    let known = vec![
+        object(1, &entry("catalogue", Class::Read)),
+        region_object(&record, 2),
+    ];
+    host.handle(start(), told(known));
+    let first = host.handle(start(), lost(HostId(2), 3));
+    let second = host.handle(start(), lost(HostId(3), 4));
+    assert!(!writes_region(&first), "host 3 is there for it");
+    assert!(writes_region(&second), "nobody else is left");
+}
