Draining servers, the platform's host list, stand-ins that shed

Change: a server's register may say that it drains; its shards move off, and after 2.5 s it gets nothing, as for an operator's order. A host that heard no other for 1.2 s reads the platform's host list, at most once in 5 s, and asks the hosts on it. Stand-ins: set_draining, set_shedding, a load report up to 2 s old, a host list that answers while the store does not.

Also: stand-ins and hosts listen on ports below those of outgoing connections. One deployment in about a hundred did not start ("does not serve catalogue", log lost); a port taken in between is the likeliest reason, not shown. The error now carries the end of the host's log.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -155,6 +155,8 @@
     pub inherited: (u32, Time),
     /// Shards on their way out.
     pub moving: Option<Move>,
+    /// Whether the server said that it is about to leave.
+    pub draining: bool,
     /// Whether the register has to be asked before the next grant.
     pub unsure: bool,
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -150,6 +150,8 @@
         /// The new value.
         value: bytes::Bytes,
     },
+    /// Read the platform's list of hosts, which lags.
+    Hosts,
     /// Wait for configuration objects written after a revision.
     Watch {
         /// The revision.
@@ -166,6 +168,8 @@
     Written(Revision),
     /// The write did not take effect.
     Conflict,
+    /// Where the listed hosts listen for others, but for those about to leave.
+    Hosts(Vec<SocketAddr>),
     /// Configuration objects and the revision up to which they are complete.
     Changes {
         /// The objects.
@@ -214,4 +218,7 @@
     pub sequence: u64,
     /// Orders that run now.
     pub running: u32,
+    /// Whether the server is about to leave and wants no new work.
+    #[serde(default)]
+    pub draining: bool,
 }
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -303,7 +303,7 @@
         let usable = control.is_some_and(|control| {
             control.phase == Phase::Active && control.slow_until <= self.now
         });
-        usable && self.view.is_eligible(server) && self.is_news(server, offer)
+        usable && self.is_usable(server) && self.is_news(server, offer)
     }
 
     /// Whether an offer of control comes from the latest controller known.
--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -118,12 +118,12 @@
         self.pump(server);
     }
 
-    /// Remembers since when operators want a server idle.
+    /// Remembers since when a server is to be idle.
     pub(super) fn note_orders(&mut self) {
         let now = self.now;
         let members: Vec<ServerKey> = self.view.servers.iter().map(|(key, _)| key).collect();
         for server in members {
-            if self.view.is_eligible(server) {
+            if self.is_usable(server) {
                 self.out_since.remove(&server);
             } else {
                 self.out_since.entry(server).or_insert(now);
@@ -210,6 +210,7 @@
             ghosts: Vec::new(),
             inherited: (0, Time::ZERO),
             moving: None,
+            draining: false,
             unsure: true,
         };
         self.controls.insert(server, control);
@@ -362,6 +363,30 @@
             self.rule_out_crash(server, open.sent);
         }
         self.note_return(server);
+        self.note_draining(server, state.draining);
+    }
+
+    /// Takes note of a server that begins or ceases to drain; its shards are planned anew.
+    fn note_draining(&mut self, server: ServerKey, draining: bool) {
+        let Some(control) = self.controls.get_mut(&server) else {
+            return;
+        };
+        if control.draining == draining {
+            return;
+        }
+        control.draining = draining;
+        let name = self.server_name(server);
+        if draining {
+            self.log(Code::ServerDraining, name, "");
+        }
+        self.note_orders();
+        self.plan_moves();
+    }
+
+    /// Whether a server may own shards, as far as operators, its domain and it itself say.
+    pub(super) fn is_usable(&self, server: ServerKey) -> bool {
+        let draining = self.controls.get(&server).is_some_and(|c| c.draining);
+        !draining && self.view.is_eligible(server)
     }
 
     fn note_restart(&mut self, server: ServerKey) {
--- a/crates/core/src/host/placements.rs
+++ b/crates/core/src/host/placements.rs
@@ -124,11 +124,7 @@
         let count = self.view.entries.get(entry).map_or(0, |entry| entry.shards);
         let mut holdings = self.holdings(entry, region);
         for (server, held) in &mut holdings {
-            held.weight = if self.view.is_eligible(*server) {
-                1.0
-            } else {
-                0.0
-            };
+            held.weight = if self.is_usable(*server) { 1.0 } else { 0.0 };
         }
         balance::spread(count, &holdings)
             .into_iter()
--- a/crates/core/src/host/planning.rs
+++ b/crates/core/src/host/planning.rs
@@ -43,7 +43,7 @@
         for (server, _) in self.view.members(entry, region) {
             let control = self.controls.get(&server);
             let lost = control.is_some_and(|control| control.phase == Phase::Lost);
-            let usable = self.view.is_eligible(server)
+            let usable = self.is_usable(server)
                 && !lost
                 && !slow.contains(&server)
                 && !self.avoided.contains_key(&server)
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -1,6 +1,7 @@
 //! Calls to the object store, and what they teach.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,9 @@
 /// Time between a failed call and its repetition.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// Time between two reads of the host list.
+const LISTING: Duration = Duration::from_secs(5);
+
 /// Open calls and writes whose effect is not known.
 #[derive(Debug, Default)]
 pub(super) struct Storage {
@@ -26,6 +30,11 @@
     writes: BTreeMap<ObjectKey, Write>,
     watch: Option<CallId>,
     watch_after: Time,
+    /// The read of the platform's host list that is under way.
+    listing: Option<CallId>,
+    listing_after: Time,
+    /// Hosts on that list, as last read.
+    listed: Vec<SocketAddr>,
     pub(super) silent: bool,
     /// Sending time of each read under way.
     pub(super) reading: BTreeMap<ObjectKey, Time>,
@@ -36,6 +45,7 @@
 #[derive(Clone, Debug)]
 enum Open {
     Watch,
+    Hosts,
     Read { key: ObjectKey, sent: Time },
     Write { key: ObjectKey },
     Audit,
@@ -195,9 +205,13 @@
         let Some(open) = self.storage.calls.remove(&call) else {
             return;
         };
+        if let Open::Hosts = open {
+            self.take_listed(result);
+            return;
+        }
         self.note_store_health(&result);
         match open {
-            Open::Audit => {}
+            Open::Audit | Open::Hosts => {}
             Open::Watch => self.take_watch(result),
             Open::Read { key, sent } => self.take_read(key, sent, result),
             Open::Write { key } => self.take_written(key, result),
@@ -234,16 +248,47 @@
             .flat_map(|record| record.hosts.keys().copied())
             .filter(|host| *host != self.settings.id)
             .collect();
-        let alone = peers.is_empty() || self.now.since(self.peer_heard) > ISOLATION;
+        let silent = self.now.since(self.peer_heard) > ISOLATION;
         if !peers.is_empty() {
             let peer = peers[self.random(peers.len())];
             self.send(peer, Message::Pull { after });
         }
-        if alone || after == Revision(0) {
-            for address in self.settings.seeds.clone() {
-                let message = Message::Pull { after };
-                self.effects.push(Effect::Probe { address, message });
-            }
+        if silent {
+            self.list_hosts();
+        }
+        if silent || peers.is_empty() || after == Revision(0) {
+            self.probe(self.settings.seeds.clone());
+            self.probe(self.storage.listed.clone());
+        }
+    }
+
+    /// Asks hosts known by their address only for the configuration.
+    fn probe(&mut self, addresses: Vec<SocketAddr>) {
+        let after = self.view.revision();
+        for address in addresses {
+            let message = Message::Pull { after };
+            self.effects.push(Effect::Probe { address, message });
+        }
+    }
+
+    /// Reads the platform's host list, which may answer while the store does not.
+    fn list_hosts(&mut self) {
+        if self.storage.listing.is_some() || self.now < self.storage.listing_after {
+            return;
+        }
+        self.storage.listing_after = self.now + LISTING;
+        let call = CallId(self.draw_id());
+        self.storage.listing = Some(call);
+        self.storage.calls.insert(call, Open::Hosts);
+        let call_kind = StoreCall::Hosts;
+        self.effects.push(Effect::Store { call, call_kind });
+    }
+
+    fn take_listed(&mut self, result: StoreResult) {
+        self.storage.listing = None;
+        if let StoreResult::Hosts(listed) = result {
+            let own = self.settings.address;
+            self.storage.listed = listed.into_iter().filter(|one| *one != own).collect();
         }
     }
 
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -92,6 +92,8 @@
     LimitLowered = 1306, Info, "limit lowered";
     /// A backend server answers far slower than it used to.
     ServerSlow = 1307, Warn, "backend server is slow";
+    /// A backend server is about to leave.
+    ServerDraining = 1308, Info, "backend server drains";
     /// The store does not answer.
     StoreSilent = 1401, Error, "object store does not answer";
     /// The store answers again.
--- a/crates/core/tests/core/fleet/backend.rs
+++ b/crates/core/tests/core/fleet/backend.rs
@@ -171,6 +171,7 @@
             token: self.token,
             sequence: self.sequence,
             running: self.running(clock) as u32,
+            draining: false,
         })
     }
 
--- a/crates/core/tests/core/fleet/store.rs
+++ b/crates/core/tests/core/fleet/store.rs
@@ -105,6 +105,7 @@
 
     fn apply(&mut self, call: StoreCall) -> Option<StoreResult> {
         match call {
+            StoreCall::Hosts => Some(StoreResult::Hosts(Vec::new())),
             StoreCall::Get { key } => {
                 let missing = Object {
                     key: key.clone(),
--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -34,6 +34,13 @@
             Err(PlatformError::Conflict) => StoreResult::Conflict,
             Err(_) => StoreResult::Failed,
         },
+        StoreCall::Hosts => match node.store.hosts().await {
+            Ok(listed) => {
+                let staying = listed.into_iter().filter(|host| !host.leaving);
+                StoreResult::Hosts(staying.map(|host| host.address).collect())
+            }
+            Err(_) => StoreResult::Failed,
+        },
         StoreCall::Watch { after } => match node.store.watch(after).await {
             Ok((objects, complete)) => StoreResult::Changes { objects, complete },
             Err(_) => StoreResult::Failed,
--- a/crates/host/tests/processes.rs
+++ b/crates/host/tests/processes.rs
@@ -133,6 +133,57 @@
     assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
 }
 
+#[test]
+fn a_draining_server_gets_no_new_work_and_nothing_fails() {
+    let mut late = 0;
+    let run = run(async |deployment| {
+        let server = &deployment.backends[0];
+        server.set_draining(true);
+        task::sleep(Duration::from_millis(1_500)).await;
+        let before = server.completed();
+        task::sleep(Duration::from_secs(1)).await;
+        late = server.completed() - before;
+    });
+    assert_promises(&run);
+    assert_eq!(late, 0);
+    assert_eq!(run.0.cut, 0);
+    assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
+}
+
+#[test]
+fn a_server_that_sheds_its_load_leaves_nothing_in_doubt() {
+    let run = run(async |deployment| {
+        deployment.backends[0].set_shedding(true);
+        task::sleep(Duration::from_secs(1)).await;
+        deployment.backends[0].set_shedding(false);
+    });
+    assert_promises(&run);
+    assert_eq!(run.0.count("unknown"), 0);
+    assert!(run.0.count("answer") > 0);
+}
+
+#[test]
+fn a_host_that_starts_in_an_outage_learns_from_the_hosts_on_the_list() {
+    let mut shape = Shape::one_region();
+    shape.seeds = false;
+    let seen = deploy(shape, async |deployment| {
+        deployment.kill_host(0);
+        task::sleep(Duration::from_millis(1_500)).await;
+        deployment.store.set_down(true);
+        deployment.restart_host(0, Path::new(PROGRAM)).unwrap();
+        let host = deployment.callers()[0];
+        for _ in 0..50 {
+            task::sleep(Duration::from_millis(100)).await;
+            let seen = ask(host, "/v1/catalogue/k", &[("deadline-ms", "500")], "").await;
+            if seen.as_ref().is_some_and(|seen| seen.status == 200) {
+                return seen;
+            }
+        }
+        None
+    });
+    assert!(seen.is_some(), "the new host does not serve");
+}
+
 fn deploy<T>(shape: Shape, act: impl AsyncFnOnce(&mut Deployment) -> T) -> T {
     let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     task::block_on(async {
--- a/crates/support/examples/slopes/bench.rs
+++ b/crates/support/examples/slopes/bench.rs
@@ -207,6 +207,7 @@
                     token,
                     sequence,
                     running: 0,
+                    draining: false,
                 };
                 Some(Event::Register {
                     call,
--- a/crates/support/src/backend.rs
+++ b/crates/support/src/backend.rs
@@ -20,6 +20,8 @@
 
 /// Time between two looks of work that waits for a thaw.
 const THAW_POLL: Duration = Duration::from_millis(2);
+/// Age up to which the load report repeats an old figure.
+const REPORT_LAG: Duration = Duration::from_secs(2);
 /// A body that takes its server down.
 const POISON: &[u8] = b"poison";
 
@@ -53,6 +55,21 @@
     shared: Arc<Mutex<Option<Arc<Shared>>>>,
     slowdown: Arc<AtomicU64>,
     completed: Arc<AtomicU64>,
+    mood: Arc<Mood>,
+}
+
+/// Modes that outlive a restart of the server.
+#[derive(Debug, Default)]
+struct Mood {
+    draining: AtomicBool,
+    shedding: AtomicBool,
+}
+
+/// A load figure and when it was taken.
+#[derive(Debug)]
+struct Report {
+    running: usize,
+    taken: Instant,
 }
 
 #[derive(Debug)]
@@ -67,6 +84,8 @@
     running: AtomicUsize,
     slowdown: Arc<AtomicU64>,
     completed: Arc<AtomicU64>,
+    mood: Arc<Mood>,
+    report: Mutex<Report>,
     register: Mutex<Register>,
 }
 
@@ -92,6 +111,7 @@
             shared: Arc::default(),
             slowdown: Arc::new(AtomicU64::new(1)),
             completed: Arc::default(),
+            mood: Arc::default(),
         };
         server.restart().await?;
         Ok(server)
@@ -115,6 +135,11 @@
             running: AtomicUsize::new(0),
             slowdown: self.slowdown.clone(),
             completed: self.completed.clone(),
+            mood: self.mood.clone(),
+            report: Mutex::new(Report {
+                running: 0,
+                taken: Instant::now(),
+            }),
             register: Mutex::default(),
         });
         let mut app = tide::with_state(shared.clone());
@@ -144,6 +169,16 @@
         }
     }
 
+    /// Announces that the server is about to leave, or takes that back.
+    pub fn set_draining(&self, draining: bool) {
+        self.mood.draining.store(draining, Ordering::Relaxed);
+    }
+
+    /// Refuses every order without running it, or ends that.
+    pub fn set_shedding(&self, shedding: bool) {
+        self.mood.shedding.store(shedding, Ordering::Relaxed);
+    }
+
     /// Makes every request take this many times as long.
     pub fn set_slowdown(&self, factor: u64) {
         self.slowdown.store(factor, Ordering::Relaxed);
@@ -193,6 +228,7 @@
             token: register.token,
             sequence: register.sequence,
             running: self.running.load(Ordering::Relaxed) as u32,
+            draining: self.mood.draining.load(Ordering::Relaxed),
         }
     }
 
@@ -232,7 +268,8 @@
         if self.options.checks && (order.token != register.token || !held) {
             return Some("fenced");
         }
-        None
+        let shedding = self.mood.shedding.load(Ordering::Relaxed);
+        shedding.then_some("shed")
     }
 }
 
@@ -335,7 +372,12 @@
 
 async fn load(request: Call) -> tide::Result {
     let shared = request.state();
-    let running = shared.running.load(Ordering::Relaxed);
+    let mut report = lock(&shared.report);
+    if report.taken.elapsed() > REPORT_LAG {
+        report.running = shared.running.load(Ordering::Relaxed);
+        report.taken = Instant::now();
+    }
+    let running = report.running;
     Ok(Response::builder(StatusCode::Ok)
         .body(running.to_string())
         .build())
--- a/crates/support/src/deployment.rs
+++ b/crates/support/src/deployment.rs
@@ -10,7 +10,7 @@
 use amaranthshunt_core::ids::Revision;
 use amaranthshunt_core::object::ObjectKey;
 use amaranthshunt_core::record::{OrderRecord, Subject};
-use amaranthshunt_platform::{HttpClient, StoreClient};
+use amaranthshunt_platform::{HostEntry, HttpClient, StoreClient};
 use async_std::task;
 use http_types::{Method, Request, Url};
 use rustix::process::{Pid, Signal, kill_process};
@@ -25,6 +25,12 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// The name of a host that cannot reach the store.
 const BLIND: &str = "blind";
+/// Ports that stand-ins and hosts listen on.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+/// Ports that are tried for one address.
+const PORT_ATTEMPTS: u32 = 100;
+/// Lines of a host's log in an error.
+const LOG_LINES: usize = 8;
 /// Time that a call to the store may take.
 const STORE_LIMIT: Duration = Duration::from_secs(2);
 
@@ -45,6 +51,8 @@
     pub service: Duration,
     /// Whether one more host runs that cannot reach the store.
     pub blind_host: bool,
+    /// Whether the settings of hosts name each other.
+    pub seeds: bool,
 }
 
 impl Shape {
@@ -61,6 +69,7 @@
             slots: 4,
             service: Duration::from_millis(5),
             blind_host: false,
+            seeds: true,
         }
     }
 
@@ -96,6 +105,16 @@
     child: Child,
 }
 
+impl HostProcess {
+    /// The end of the host's log.
+    fn last_lines(&self) -> String {
+        let log = std::fs::read_to_string(self.settings.with_extension("log"));
+        let text = log.unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LOG_LINES)..].join("\n")
+    }
+}
+
 /// Runs this program as a host process when its arguments say so.
 pub fn run_host_process() -> Option<ExitCode> {
     let mut arguments = std::env::args().skip(1);
@@ -107,9 +126,21 @@
 }
 
 /// An address on loopback that nobody listens on.
+///
+/// Its port lies below those that the system gives to outgoing connections, so that none of
+/// them takes it before its process listens.
+///
+/// # Panics
+///
+/// Panics when no port can be listened on.
 pub fn free_address() -> SocketAddr {
-    let bound = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    bound.unwrap_or_else(|error| panic!("no free port: {error}"))
+    for _ in 0..PORT_ATTEMPTS {
+        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORTS)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port");
 }
 
 impl Deployment {
@@ -256,8 +287,15 @@
                 addresses.push((name, domain.clone(), free_address(), free_address()));
             }
         }
+        let listed = addresses.iter().map(|(name, _, _, hosts)| HostEntry {
+            name: name.clone(),
+            address: *hosts,
+            leaving: false,
+        });
+        self.store.set_hosts(listed.collect());
         let seeds: Vec<String> = addresses
             .iter()
+            .filter(|_| self.shape.seeds)
             .map(|(_, _, _, hosts)| format!("\"{hosts}\""))
             .collect();
         if self.shape.blind_host {
@@ -295,7 +333,8 @@
             for (entry, class, _) in &self.shape.entries {
                 while !is_served(host.callers, entry, *class).await {
                     if started.elapsed() > START_LIMIT {
-                        let text = format!("{} does not serve {entry}", host.name);
+                        let log = host.last_lines();
+                        let text = format!("{} does not serve {entry}:\n{log}", host.name);
                         return Err(std::io::Error::other(text));
                     }
                     task::sleep(Duration::from_millis(50)).await;
--- a/crates/support/src/store.rs
+++ b/crates/support/src/store.rs
@@ -84,7 +84,7 @@
         self.address
     }
 
-    /// Lets every call wait without an answer, or ends that.
+    /// Lets every call but that for the host list wait without an answer, or ends that.
     pub fn set_down(&self, down: bool) {
         self.shared.down.store(down, Ordering::Relaxed);
     }
@@ -233,9 +233,7 @@
 }
 
 async fn hosts(request: Call) -> tide::Result {
-    let shared = request.state().clone();
-    shared.enter().await;
-    let listed = shared.lock().hosts.clone();
+    let listed = request.state().lock().hosts.clone();
     Ok(tide::Body::from_json(&listed)?.into())
 }
 
