measure: control bytes, and the direct load beside the path's

A probe thread (not kept) that asked one stand-in every millisecond saw its own exchanges go from 0.2 to 2 to 3.6 ms in the same 60 ms in which the path's requests took 8 to 14; the processor time of every process doubled then, with no event in any host's log and next to no steal. So the bursts are not the path's own, but each of its three or four hops pays them.

Ruled out: the limiter (no "limit lowered" in any log), threads of the runtime (2, 4 and 8 a host: p99 9.2 to 11.2, 6.2 to 10.0, 9.6 to 12.8 ms), stalls of the load tool's sending.

--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -27,14 +27,14 @@
 use crate::calls::{Dispatch, call_register, call_store, give_order};
 use crate::clock::Clock;
 use crate::links::{Links, read_link};
-use crate::telemetry::{Metrics, write_log};
+use crate::telemetry::{Metrics, State, write_log};
 
 /// Time between two looks while the host waits for its end.
 const TICK: Duration = Duration::from_millis(10);
 /// The longest time between two ticks.
 const LONGEST_TICK: Duration = Duration::from_millis(50);
 /// Time between two reports of what the host holds.
-const REPORT: Duration = Duration::from_secs(5);
+const REPORT: Duration = Duration::from_secs(1);
 /// Time that callers have to use a kept connection once more, and be told to close it.
 const LINGER: Duration = Duration::from_millis(1_500);
 
@@ -368,9 +368,13 @@
 
 async fn report(node: Weak<Node>) {
     while let Some(node) = node.upgrade() {
-        let (controlled, records) =
-            node.inspect(|core| (core.controls().count(), core.ledger_size()));
-        node.metrics.state(node.active(), controlled, records);
+        let state = node.inspect(|core| State {
+            waiting: node.active() as u64,
+            controlled: core.controls().count() as u64,
+            records: core.ledger_size() as u64,
+            control_bytes: node.control_bytes(),
+        });
+        node.metrics.state(&state);
         drop(node);
         task::sleep(REPORT).await;
     }
--- a/crates/host/src/telemetry.rs
+++ b/crates/host/src/telemetry.rs
@@ -34,6 +34,19 @@
     log::log!(target: "amaranthshunt", level, "{host} {record}");
 }
 
+/// What a host holds and has sent, for its metrics.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct State {
+    /// Requests of callers under way.
+    pub(crate) waiting: u64,
+    /// Backend servers under control.
+    pub(crate) controlled: u64,
+    /// Ledger records, copies for other hosts included.
+    pub(crate) records: u64,
+    /// Bytes of control messages sent since the start.
+    pub(crate) control_bytes: u64,
+}
+
 /// Counts requests and times them.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -67,10 +80,14 @@
         let _ = self.client.time("requests.millis", millis);
     }
 
-    /// Reports what the host holds.
-    pub(crate) fn state(&self, waiting: usize, controlled: usize, records: usize) {
-        let _ = self.client.gauge("requests.waiting", waiting as u64);
-        let _ = self.client.gauge("servers.controlled", controlled as u64);
-        let _ = self.client.gauge("ledger.records", records as u64);
+    /// Reports what the host holds and has sent.
+    pub(crate) fn state(&self, state: &State) {
+        let _ = self.client.gauge("requests.waiting", state.waiting);
+        let _ = self.client.gauge("servers.controlled", state.controlled);
+        let _ = self.client.gauge("ledger.records", state.records);
+        let _ = self
+            .client
+            .gauge("links.control_bytes", state.control_bytes);
+        let _ = self.client.flush();
     }
 }
--- a/crates/support/examples/measure/report.rs
+++ b/crates/support/examples/measure/report.rs
@@ -27,6 +27,7 @@
     pub(crate) false_not_run: u64,
     pub(crate) overruns: u64,
     pub(crate) cpu_percent: f64,
+    pub(crate) control_bytes_host_second: u64,
     pub(crate) store_reads: u64,
     pub(crate) store_writes: u64,
 }
@@ -46,7 +47,7 @@
                 Some(number) if number.fract() != 0.0 => format!("{number:.3}"),
                 _ => value.to_string(),
             };
-            text.push_str(&format!("{name:<18} {value}\n"));
+            text.push_str(&format!("{name:<26} {value}\n"));
         }
         text
     }
--- a/crates/support/examples/measure/scenario.rs
+++ b/crates/support/examples/measure/scenario.rs
@@ -7,11 +7,16 @@
 
 use amaranthshunt_core::record::{PlacementRecord, Subject};
 use amaranthshunt_platform::{HttpClient, StoreClient};
-use amaranthshunt_support::{BackendStandIn, Deployment, Load, LoadOptions, Shape};
+use amaranthshunt_support::{
+    BackendOptions, BackendStandIn, Deployment, Journal, Load, LoadOptions, Shape, free_address,
+};
 use async_std::task;
 
 use super::report::Report;
 
+/// Servers that take the direct load.
+const DIRECT_SERVERS: usize = 10;
+
 /// A named way to disturb a deployment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Scenario {
@@ -82,14 +87,18 @@
     task::sleep(Duration::from_secs(2)).await;
     let before = placements(&deployment).await?;
     let cpu_before = deployment.cpu();
+    let bytes_before = deployment.control_bytes();
     let load = Load::new(deployment.journal.clone());
     let options = load_options(&deployment, wanted);
     let started = Instant::now();
     let sending = task::spawn(load.run(options));
+    let direct = task::spawn(direct_latency(deployment.shape.clone(), wanted));
     disturb(&mut deployment, wanted, &program).await?;
     let report = sending.await;
     let took = started.elapsed();
     let cpu = deployment.cpu().saturating_sub(cpu_before);
+    let bytes = deployment.control_bytes().saturating_sub(bytes_before);
+    let host_seconds = took.as_secs_f64() * deployment.callers().len() as f64;
     let after = placements(&deployment).await?;
     let latency = report.latency();
     let (store_reads, store_writes, _) = deployment.store.calls();
@@ -97,7 +106,7 @@
     let (double_runs, double_owners) = (journal.double_runs(), journal.double_owners());
     let overruns = journal.overruns();
     let imbalance = imbalance(&deployment);
-    let direct = direct_latency(&deployment, wanted).await;
+    let direct = direct.await;
     Ok(Report {
         scenario: wanted.scenario.name().to_owned(),
         seed: wanted.seed,
@@ -123,6 +132,7 @@
             .sum(),
         overruns,
         cpu_percent: cpu.as_secs_f64() / took.as_secs_f64() * 100.0,
+        control_bytes_host_second: (bytes as f64 / host_seconds) as u64,
         store_reads,
         store_writes,
     })
@@ -222,23 +232,22 @@
     Ok(())
 }
 
-/// Latency of the same load sent directly to backend servers that check nothing.
-async fn direct_latency(deployment: &Deployment, wanted: Wanted) -> Option<(u64, u64)> {
+/// Latency of the same load sent directly to servers of the same kind, at the same time.
+///
+/// The two loads share whatever else the machine does; the servers are apart, so that neither
+/// load waits for the other's slots.
+async fn direct_latency(shape: Shape, wanted: Wanted) -> Option<(u64, u64)> {
     if wanted.scenario != Scenario::Steady {
         return None;
     }
-    let unchecked = deployment.backends.iter().map(BackendStandIn::options);
-    let addresses: Vec<SocketAddr> = unchecked
-        .filter(|options| !options.checks)
-        .map(|options| options.address)
-        .collect();
+    let servers = start_direct(&shape).await?;
     let http = Arc::new(HttpClient::default());
     let gap = Duration::from_secs_f64(1.0 / wanted.rate);
     let started = Instant::now();
     let mut sendings = Vec::new();
     for number in 0..(wanted.rate * wanted.seconds) as u32 {
         task::sleep((gap * number).saturating_sub(started.elapsed())).await;
-        let address = addresses[number as usize % addresses.len()];
+        let address = servers[number as usize % servers.len()].options().address;
         sendings.push(task::spawn(send_directly(http.clone(), address)));
     }
     let mut histogram = hdrhistogram::Histogram::<u64>::new(3).ok()?;
@@ -251,6 +260,27 @@
     ))
 }
 
+/// Servers that check nothing and belong to no host.
+async fn start_direct(shape: &Shape) -> Option<Vec<BackendStandIn>> {
+    let journal = Arc::new(Journal::default());
+    let mut servers = Vec::new();
+    for number in 0..DIRECT_SERVERS {
+        let options = BackendOptions {
+            name: format!("direct-{number}"),
+            entry: "direct".to_owned(),
+            address: free_address(),
+            checks: false,
+            slots: shape.slots as usize,
+            cold_slots: shape.slots as usize,
+            warm_up: Duration::ZERO,
+            service: shape.service,
+        };
+        let server = BackendStandIn::start(options, journal.clone()).await;
+        servers.push(server.ok()?);
+    }
+    Some(servers)
+}
+
 async fn send_directly(http: Arc<HttpClient>, address: SocketAddr) -> Option<Duration> {
     let url = http_types::Url::parse(&format!("http://{address}/run/k0")).ok()?;
     let mut request = http_types::Request::new(http_types::Method::Post, url);
--- a/crates/support/src/deployment.rs
+++ b/crates/support/src/deployment.rs
@@ -17,6 +17,7 @@
 
 use crate::backend::{BackendOptions, BackendStandIn};
 use crate::journal::Journal;
+use crate::metrics::MetricsStandIn;
 use crate::store::StoreStandIn;
 
 /// The first argument that makes a program run as a host process.
@@ -29,6 +30,8 @@
 const PORTS: std::ops::Range<u16> = 10_000..32_000;
 /// Ports that are tried for one address.
 const PORT_ATTEMPTS: u32 = 100;
+/// The metric of control messages sent.
+const CONTROL_BYTES: &str = "amaranthshunt.links.control_bytes";
 /// Lines of a host's log in an error.
 const LOG_LINES: usize = 8;
 /// Time that a call to the store may take.
@@ -91,6 +94,8 @@
     pub store: StoreStandIn,
     /// The backend servers.
     pub backends: Vec<BackendStandIn>,
+    /// What the hosts report of themselves.
+    pub metrics: MetricsStandIn,
     /// What the backend servers did.
     pub journal: Arc<Journal>,
     hosts: Vec<HostProcess>,
@@ -151,6 +156,7 @@
     /// Fails when a process or socket cannot be started.
     pub async fn start(shape: Shape, program: &std::path::Path) -> std::io::Result<Self> {
         let store = StoreStandIn::start(free_address()).await?;
+        let metrics = MetricsStandIn::start().await?;
         let journal = Arc::new(Journal::default());
         let folder = std::env::temp_dir().join(format!("amaranthshunt-{}", rand::random::<u32>()));
         std::fs::create_dir_all(&folder)?;
@@ -158,6 +164,7 @@
             shape,
             store,
             backends: Vec::new(),
+            metrics,
             journal,
             hosts: Vec::new(),
             folder,
@@ -207,6 +214,11 @@
         matches!(self.hosts[index].child.try_wait(), Ok(Some(_)))
     }
 
+    /// Bytes of control messages that the hosts have reported so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.metrics.sum(CONTROL_BYTES)
+    }
+
     /// Processor time that the host processes have used so far.
     pub fn cpu(&self) -> Duration {
         self.hosts.iter().map(|host| cpu_of(host.child.id())).sum()
@@ -311,8 +323,10 @@
             let text = format!(
                 "name = \"{name}\"\ndomain = \"{domain}\"\n\
                  [listen]\ncallers = \"{callers}\"\nhosts = \"{hosts}\"\n\
-                 [platform]\nstore = \"{store}\"\n[peers]\nseeds = [{}]\n",
-                seeds.join(", ")
+                 [platform]\nstore = \"{store}\"\n[peers]\nseeds = [{}]\n\
+                 [metrics]\nstatsd = \"{}\"\n",
+                seeds.join(", "),
+                self.metrics.address()
             );
             let settings = self.folder.join(format!("{name}.toml"));
             std::fs::write(&settings, text)?;
--- a/crates/support/src/lib.rs
+++ b/crates/support/src/lib.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod journal;
 mod load;
+mod metrics;
 mod serve;
 mod store;
 
@@ -12,4 +13,5 @@
 pub use deployment::{Deployment, Shape, free_address, run_host_process};
 pub use journal::Journal;
 pub use load::{Load, LoadOptions, LoadReport, Seen, Tally, ask};
+pub use metrics::MetricsStandIn;
 pub use store::StoreStandIn;
