Grace of a draining server counts from the earliest reason

Cause: a host that came new, while the server's domain was out by order, counted the grace from its own start and kept that when the server told an earlier time. Ruled out: late orders on their way (no order is older than 0.5 s there). Change: the earliest of the two counts.

--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -128,7 +128,8 @@
             } else {
                 let drained = self.controls.get(&server).and_then(|c| c.draining);
                 let since = drained.map_or(now, |since| since.min(now));
-                self.out_since.entry(server).or_insert(since);
+                let kept = self.out_since.entry(server).or_insert(since);
+                *kept = since.min(*kept);
             }
         }
     }
