Admission limits grow with time as well as with answers

Cause: a server with little work stayed near its cold limit, since growth went by answers alone. Change: a good answer stands for one more round for each 50 ms since the last, four at most. Weighed and not taken: growth without any answer.

--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -13,6 +13,10 @@
 const STRAGGLER_STREAK: u32 = 3;
 /// The part of the gap to the full limit that a round of good completions closes.
 const GROWTH: f64 = 0.5;
+/// Time without a bad sign that counts as one more round of good completions.
+const GROWTH_PERIOD: Duration = Duration::from_millis(50);
+/// Rounds that one completion can stand for.
+const ROUNDS_LIMIT: u128 = 4;
 /// Time between two reactions to bad signs.
 const REACTION_PAUSE: Duration = Duration::from_millis(100);
 
@@ -31,6 +35,7 @@
     recent_micros: f64,
     reacted: Time,
     streak: u32,
+    grown: Time,
 }
 
 impl Limiter {
@@ -48,6 +53,7 @@
             recent_micros: 0.0,
             reacted: Time::ZERO,
             streak: 0,
+            grown: now,
         }
     }
 
@@ -74,11 +80,23 @@
         self.usual_micros = Some(usual + (micros - usual) * AVERAGE_WEIGHT);
         self.streak = 0;
         if now >= self.cold_until {
-            self.current = (self.current + GROWTH / self.current).min(self.full);
+            self.grow(now);
         }
         false
     }
 
+    /// Grows for a good completion, and for the good time since the last one.
+    ///
+    /// Time counts as well, so that a server with little work does not stay near its cold limit.
+    fn grow(&mut self, now: Time) {
+        let since = now.since(self.grown.max(self.cold_until));
+        let rounds = 1 + since.as_millis() / GROWTH_PERIOD.as_millis();
+        for _ in 0..rounds.min(ROUNDS_LIMIT) {
+            self.current = (self.current + GROWTH / self.current).min(self.full);
+        }
+        self.grown = now;
+    }
+
     /// Takes in a shed order or an error; returns whether the limit fell.
     pub fn failed(&mut self, now: Time) -> bool {
         self.fall_back(now)
--- a/crates/core/tests/core/units.rs
+++ b/crates/core/tests/core/units.rs
@@ -241,3 +241,12 @@
         .count();
     assert_eq!(second, 6);
 }
+
+#[test]
+fn a_server_with_little_work_reaches_its_full_limit_soon_after_its_warm_up() {
+    let mut limiter = Limiter::new(&limits(), at(0));
+    for number in 0..6 {
+        limiter.completed(at(150 + number * 200), Duration::from_millis(5));
+    }
+    assert_eq!(limiter.limit(), 4);
+}
