--- a/crates/host/tests/processes.rs
+++ b/crates/host/tests/processes.rs
@@ -162,6 +162,28 @@
     assert!(run.0.count("answer") > 0);
 }
 
+#[test]
+fn a_frozen_server_is_replaced_and_runs_nothing_twice() {
+    let run = run(async |deployment| {
+        deployment.backends[0].set_frozen(true);
+        task::sleep(Duration::from_millis(1_500)).await;
+        deployment.backends[0].set_frozen(false);
+    });
+    assert_promises(&run);
+    assert!(run.0.count("answer") > 0);
+}
+
+#[test]
+fn a_slow_store_stops_nobody() {
+    let run = run(async |deployment| {
+        deployment.store.set_delay(Duration::from_millis(150));
+        task::sleep(Duration::from_secs(2)).await;
+        deployment.store.set_delay(Duration::ZERO);
+    });
+    assert_promises(&run);
+    assert_eq!(run.0.count("not-run") + run.0.count("unknown"), 0);
+}
+
 #[test]
 fn a_host_that_starts_in_an_outage_learns_from_the_hosts_on_the_list() {
     let mut shape = Shape::one_region();
