--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -29,9 +29,7 @@
 use crate::budget::RetryBudget;
 use crate::control::Control;
 use crate::event::{Effect, Event};
-use crate::ids::{
-    CallId, EntryKey, Epoch, ExchangeId, HostId, RegionKey, RequestId, ServerKey, ShardKey,
-};
+use crate::ids::{CallId, Epoch, ExchangeId, HostId, RequestId, ServerKey, ShardKey};
 use crate::ledger::Ledger;
 use crate::log::{Code, Record};
 use crate::message::Message;
@@ -455,14 +453,6 @@
         })
     }
 
-    fn shard(&self, entry: EntryKey, region: RegionKey, index: u32) -> ShardKey {
-        ShardKey {
-            entry,
-            region,
-            index,
-        }
-    }
-
     fn next_owner(&self, shard: ShardKey, server: ServerKey) -> Owner {
         let epoch = self.view.owner(shard).map_or(Epoch(0), |owner| owner.epoch);
         Owner {
--- a/crates/core/src/host/copying.rs
+++ b/crates/core/src/host/copying.rs
@@ -244,7 +244,7 @@
         self.view
             .owned_by(server)
             .into_keys()
-            .map(|index| self.shard(info.entry, info.region, index))
+            .map(|index| ShardKey::new(info.entry, info.region, index))
             .collect()
     }
 
@@ -264,7 +264,7 @@
         let since = self.now + timing.key_ahead + timing.drift();
         let mut opened = Vec::new();
         for (index, epoch) in granted {
-            let shard = self.shard(entry, region, *index);
+            let shard = ShardKey::new(entry, region, *index);
             let incoming = self.incoming.remove(&shard);
             let fitting = incoming.filter(|incoming| {
                 let control = incoming.control.is_none_or(|given| given == token);
@@ -391,7 +391,7 @@
     fn intern_shard(&mut self, entry: &str, region: &str, index: u32) -> ShardKey {
         let entry = self.view.entries.intern(entry);
         let region = self.view.regions.intern(region);
-        self.shard(entry, region, index)
+        ShardKey::new(entry, region, index)
     }
 
     fn since_part(&self, shard: ShardKey, since: Time) -> ShardSince {
--- a/crates/core/src/host/handover.rs
+++ b/crates/core/src/host/handover.rs
@@ -4,7 +4,7 @@
 
 use super::{AVOIDANCE, Host};
 use crate::control::Phase;
-use crate::ids::{Epoch, HostId, ServerKey, Token};
+use crate::ids::{Epoch, HostId, ServerKey, ShardKey, Token};
 use crate::ledger::Ledger;
 use crate::log::Code;
 use crate::message::{LedgerPart, Message};
@@ -327,7 +327,7 @@
             return false;
         };
         offer.shards.iter().all(|(index, epoch)| {
-            let shard = self.shard(info.entry, info.region, *index);
+            let shard = ShardKey::new(info.entry, info.region, *index);
             let known = self.view.owner(shard).map_or(Epoch(0), |owner| owner.epoch);
             let later = self
                 .incoming
@@ -352,7 +352,7 @@
         let (entry, region) = (info.entry, info.region);
         let mut ledger = self.read_part(offer.ledger);
         for (index, epoch) in offer.shards {
-            let shard = self.shard(entry, region, index);
+            let shard = ShardKey::new(entry, region, index);
             let mut one = Ledger::default();
             one.adopt(shard, &mut ledger);
             self.incoming.remove(&shard);
--- a/crates/core/src/host/moves.rs
+++ b/crates/core/src/host/moves.rs
@@ -77,7 +77,7 @@
         let (entry, region) = (info.entry, info.region);
         let mut shards = BTreeMap::new();
         for (index, target) in plan {
-            let next = self.next_owner(self.shard(entry, region, index), target);
+            let next = self.next_owner(ShardKey::new(entry, region, index), target);
             shards.insert(index, (target, next.epoch));
         }
         let moving = Move {
@@ -201,7 +201,7 @@
             }
             let keys: Vec<ShardKey> = shards
                 .iter()
-                .map(|(index, _)| self.shard(entry, region, *index))
+                .map(|(index, _)| ShardKey::new(entry, region, *index))
                 .collect();
             let id = self.draw_id();
             let message = Message::Handover {
--- a/crates/core/src/host/provisional.rs
+++ b/crates/core/src/host/provisional.rs
@@ -5,7 +5,7 @@
 
 use super::Host;
 use crate::control::{MoveStep, Phase};
-use crate::ids::{EntryKey, Epoch, HostId, RegionKey, ServerKey};
+use crate::ids::{EntryKey, Epoch, HostId, RegionKey, ServerKey, ShardKey};
 use crate::log::Code;
 use crate::message::Message;
 use crate::view::Owner;
@@ -57,7 +57,8 @@
                 server: self.view.servers.intern(name),
                 epoch: *epoch,
             };
-            self.view.assign(self.shard(entry, region, *index), owner);
+            self.view
+                .assign(ShardKey::new(entry, region, *index), owner);
         }
         if id != 0 {
             self.send(from, Message::Provisioned { id });
@@ -101,7 +102,8 @@
                 server: *target,
                 epoch: *epoch,
             };
-            self.view.assign(self.shard(entry, region, *index), owner);
+            self.view
+                .assign(ShardKey::new(entry, region, *index), owner);
         }
         self.finish_move(server, Code::ShardsProvisional);
         if let Some(message) = self.provision(0, server, &shards) {
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -77,6 +77,17 @@
     pub index: u32,
 }
 
+impl ShardKey {
+    /// Names a shard.
+    pub fn new(entry: EntryKey, region: RegionKey, index: u32) -> Self {
+        Self {
+            entry,
+            region,
+            index,
+        }
+    }
+}
+
 /// The caller's key of a request that must not run twice.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct IdempotencyKey(pub uuid::Uuid);
--- /dev/null
+++ b/crates/core/tests/core/peers.rs
@@ -0,0 +1,307 @@
+//! One host among others: whom it asks, what it keeps for them, what it takes from them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use amaranthshunt_core::catalogue::Class;
+use amaranthshunt_core::control::Phase;
+use amaranthshunt_core::event::{StoreCall, StoreResult};
+use amaranthshunt_core::ids::{CallId, Revision, Token};
+use amaranthshunt_core::message::LedgerPart;
+use amaranthshunt_core::object::{Object, ObjectKey};
+use amaranthshunt_core::record::{ControlRecord, HostRecord, OrderRecord, RegionRecord, Subject};
+use amaranthshunt_core::{Effect, Event, Host, HostId, HostSettings, Message, Time};
+use bytes::Bytes;
+
+use super::fixture::{entry, informed, object, settings, start, watch_of};
+
+/// A host that reaches no store and knows one seed address.
+fn blind() -> Host {
+    let seeds = vec!["127.0.0.1:7001".parse().unwrap()];
+    let mut host = Host::new(
+        HostSettings {
+            seeds,
+            ..settings()
+        },
+        1,
+        start(),
+    );
+    let call = watch_of(&host.handle(start(), Event::Tick));
+    let result = StoreResult::Failed;
+    host.handle(start(), Event::Store { call, result });
+    host
+}
+
+fn region(revision: u64, host: HostId) -> Object {
+    let other = two_hosts().hosts.remove(&HostId(2)).unwrap();
+    let record = RegionRecord {
+        hosts: BTreeMap::from([(host, other)]),
+        control: BTreeMap::new(),
+    };
+    region_object(&record, revision)
+}
+
+fn told(objects: Vec<Object>) -> Event {
+    let complete = objects.iter().map(|object| object.revision).max().unwrap();
+    Event::Peer {
+        from: HostId(2),
+        message: Message::Delta { objects, complete },
+    }
+}
+
+/// Whether a host asks a seed address within a span of time.
+fn asks_seeds(host: &mut Host, from: Time, span: Duration) -> bool {
+    let mut now = from;
+    let mut asked = false;
+    while now < from + span {
+        let effects = host.handle(now, Event::Tick);
+        asked |= effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Probe { .. }));
+        now = now + Duration::from_millis(50);
+    }
+    asked
+}
+
+#[test]
+fn a_host_that_was_told_of_no_other_host_goes_on_asking_its_seeds() {
+    let mut host = blind();
+    host.handle(
+        start(),
+        told(vec![object(1, &entry("catalogue", Class::Read))]),
+    );
+    let span = Duration::from_secs(1);
+    assert!(asks_seeds(&mut host, start(), span));
+}
+
+#[test]
+fn a_host_whose_known_hosts_are_all_silent_asks_its_seeds_again() {
+    let mut host = blind();
+    let objects = vec![
+        object(1, &entry("catalogue", Class::Read)),
+        region(2, HostId(2)),
+    ];
+    host.handle(start(), told(objects));
+    let second = Duration::from_secs(1);
+    assert!(!asks_seeds(&mut host, start(), second), "it knows a host");
+    assert!(asks_seeds(&mut host, start() + second, second * 2));
+}
+
+/// This host and host 2, which has named it as its successor.
+fn two_hosts() -> RegionRecord {
+    let own = HostRecord {
+        name: "h0".to_owned(),
+        domain: "este/e1".parse().unwrap(),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        successor: None,
+        term: 0,
+    };
+    let ward = HostRecord {
+        name: "h1".to_owned(),
+        successor: Some(HostId(1)),
+        term: 5,
+        ..own.clone()
+    };
+    RegionRecord {
+        hosts: BTreeMap::from([(HostId(1), own), (HostId(2), ward)]),
+        control: BTreeMap::new(),
+    }
+}
+
+fn region_object(record: &RegionRecord, revision: u64) -> Object {
+    Object {
+        key: ObjectKey::region("este"),
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(record).unwrap().into()),
+    }
+}
+
+/// A successor of host 2 that has its region's record from the store.
+fn successor_of_two() -> Host {
+    let (mut host, _) = informed();
+    let object = region_object(&two_hosts(), 3);
+    host.handle(start(), told(vec![object]));
+    host
+}
+
+fn copy_answer(host: &mut Host, sequence: u64, full: Option<u64>) -> Message {
+    let message = Message::Copy {
+        sequence,
+        full,
+        ledger: LedgerPart::default(),
+    };
+    let from = HostId(2);
+    let effects = host.handle(start(), Event::Peer { from, message });
+    let answer = effects.into_iter().find_map(|effect| match effect {
+        Effect::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    answer.expect("a copy is answered")
+}
+
+#[test]
+fn a_copy_behind_a_lost_one_is_not_kept() {
+    let mut host = successor_of_two();
+    let full = copy_answer(&mut host, 7, Some(5));
+    let next = copy_answer(&mut host, 8, None);
+    let behind = copy_answer(&mut host, 10, None);
+    let after = copy_answer(&mut host, 11, None);
+    let again = copy_answer(&mut host, 12, Some(5));
+    assert_eq!(full, Message::CopyKept { sequence: 7 });
+    assert_eq!(next, Message::CopyKept { sequence: 8 });
+    assert_eq!(behind, Message::CopyBroken { sequence: 10 });
+    assert_eq!(after, Message::CopyBroken { sequence: 11 });
+    assert_eq!(again, Message::CopyKept { sequence: 12 });
+}
+
+fn put_of(effects: &[Effect], wanted: &ObjectKey) -> (CallId, Bytes) {
+    let found = effects.iter().find_map(|effect| match effect {
+        Effect::Store {
+            call,
+            call_kind: StoreCall::Put { key, value, .. },
+        } if key == wanted => Some((*call, value.clone())),
+        _ => None,
+    });
+    found.expect("the host writes the record")
+}
+
+fn controlled_by(record: &RegionRecord, host: HostId, token: u64, revision: u64) -> Event {
+    let mut record = record.clone();
+    for control in record.control.values_mut() {
+        control.host = host;
+        control.token = Token(token);
+    }
+    told(vec![region_object(&record, revision)])
+}
+
+#[test]
+fn a_claim_that_was_confirmed_late_does_not_shorten_a_later_takeover() {
+    let mut host = Host::new(settings(), 1, start());
+    let call = watch_of(&host.handle(start(), Event::Tick));
+    let mut unchecked = entry("catalogue", Class::Read);
+    unchecked.servers[0].checks = false;
+    let result = StoreResult::Changes {
+        objects: vec![object(1, &unchecked)],
+        complete: Revision(1),
+    };
+    let effects = host.handle(start(), Event::Store { call, result });
+    let (call, value) = put_of(&effects, &ObjectKey::region("este"));
+    let claim: RegionRecord = serde_json::from_slice(&value).unwrap();
+    host.handle(start(), controlled_by(&claim, HostId(1), 1, 2));
+    let result = StoreResult::Written(Revision(2));
+    host.handle(start(), Event::Store { call, result });
+    host.handle(start(), controlled_by(&claim, HostId(2), 2, 3));
+    host.handle(start(), controlled_by(&claim, HostId(1), 3, 4));
+    let phase = host.controls().next().unwrap().phase;
+    assert!(
+        matches!(phase, Phase::Waiting(until) if until > start()),
+        "{phase:?}"
+    );
+}
+
+/// Ticks until the host reads its region's record, and answers with it.
+fn make_valid(host: &mut Host, object: &Object) -> Time {
+    let mut now = start();
+    loop {
+        let effects = host.handle(now, Event::Tick);
+        let read = effects.iter().find_map(|effect| match effect {
+            Effect::Store {
+                call,
+                call_kind: StoreCall::Get { key },
+            } if *key == object.key => Some(*call),
+            _ => None,
+        });
+        if let Some(call) = read {
+            let result = StoreResult::Read(object.clone());
+            host.handle(now, Event::Store { call, result });
+            assert!(host.is_valid());
+            return now;
+        }
+        now = now + Duration::from_millis(50);
+    }
+}
+
+fn takes_control(host: &mut Host, now: Time, source: u64) -> bool {
+    let message = Message::Handover {
+        id: source,
+        source: Token(source),
+        server: "catalogue-0".to_owned(),
+        control: Some(Token(source + 1)),
+        shards: Vec::new(),
+        ledger: LedgerPart::default(),
+    };
+    let from = HostId(2);
+    let effects = host.handle(now, Event::Peer { from, message });
+    effects.iter().any(|effect| match effect {
+        Effect::Send { message, .. } => {
+            matches!(message, Message::HandoverTaken { taken: true, .. })
+        }
+        _ => false,
+    })
+}
+
+#[test]
+fn a_hand_over_of_control_that_has_gone_on_is_declined() {
+    let (mut host, _) = informed();
+    let control = ControlRecord {
+        host: HostId(2),
+        token: Token(13),
+        released: false,
+    };
+    let mut record = two_hosts();
+    record.control.insert("catalogue-0".to_owned(), control);
+    let object = region_object(&record, 3);
+    host.handle(start(), told(vec![object.clone()]));
+    let now = make_valid(&mut host, &object);
+    assert!(!takes_control(&mut host, now, 11));
+    assert!(takes_control(&mut host, now, 13));
+}
+
+fn lost(host: HostId, revision: u64) -> Event {
+    let order = OrderRecord {
+        out: true,
+        operator: "test".to_owned(),
+    };
+    told(vec![Object {
+        key: ObjectKey::order(&Subject::Lost(host)),
+        revision: Revision(revision),
+        value: Some(serde_json::to_vec(&order).unwrap().into()),
+    }])
+}
+
+fn writes_region(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| match effect {
+        Effect::Store {
+            call_kind: StoreCall::Put { key, .. },
+            ..
+        } => *key == ObjectKey::region("este"),
+        _ => false,
+    })
+}
+
+#[test]
+fn a_host_called_lost_is_left_to_its_successor_while_there_is_one() {
+    let mut record = two_hosts();
+    let third = record.hosts[&HostId(1)].clone();
+    record.hosts.insert(HostId(3), third);
+    for (host, successor) in [(1, 3), (2, 3), (3, 1)] {
+        let kept = record.hosts.get_mut(&HostId(host)).unwrap();
+        kept.successor = Some(HostId(successor));
+    }
+    let control = ControlRecord {
+        host: HostId(2),
+        token: Token(2),
+        released: false,
+    };
+    record.control.insert("catalogue-0".to_owned(), control);
+    let mut host = Host::new(settings(), 1, start());
+    let known = vec![
+        object(1, &entry("catalogue", Class::Read)),
+        region_object(&record, 2),
+    ];
+    host.handle(start(), told(known));
+    let first = host.handle(start(), lost(HostId(2), 3));
+    let second = host.handle(start(), lost(HostId(3), 4));
+    assert!(!writes_region(&first), "host 3 is there for it");
+    assert!(writes_region(&second), "nobody else is left");
+}
