--- a/crates/core/tests/core/fleet.rs
+++ b/crates/core/tests/core/fleet.rs
@@ -281,7 +281,7 @@
         self.now = end;
     }
 
-    /// How many requests of each entry were answered among those submitted since a time.
+    /// The time of the clockwork, in microseconds since the Unix epoch.
     pub(crate) fn now(&self) -> u64 {
         self.now
     }
