Hosts that cannot be reached are passed over as watchers

Cause: the host that watches the store for a failure domain is the first on record; a pair that died together stays on record, and where one of them was first nobody watched, so the operator's "host lost" for them never reached a host. Ruled out: the order itself (it was in the store), the successor's rule (no host knew the order).

Change: hosts whose connection broke are passed over until they are heard again, and each host compares revisions with the watcher of its domain as well as with a random host. Test: a_host_watches_the_store_once_the_watcher_of_its_domain_cannot_be_reached.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -79,6 +79,7 @@
     wards: BTreeMap<HostId, Ward>,
     failed_successor: Option<HostId>,
     peer_heard: Time,
+    unreachable: BTreeSet<HostId>,
     known_successor: Option<HostId>,
     on_record: bool,
     storage: Storage,
@@ -130,6 +131,7 @@
             wards: BTreeMap::new(),
             failed_successor: None,
             peer_heard: now,
+            unreachable: BTreeSet::new(),
             known_successor: None,
             on_record: false,
             storage: Storage::default(),
@@ -349,6 +351,7 @@
         let view = &self.view;
         self.kept
             .retain(|host, _| view.host(*host).is_some() || heirs.contains(host));
+        self.unreachable.retain(|host| view.host(*host).is_some());
         self.quarantine.expire(self.now, timing.quarantine);
         let now = self.now;
         self.avoided.retain(|_, until| *until > now);
@@ -376,6 +379,7 @@
 
     fn take_message(&mut self, from: HostId, message: Message) {
         self.peer_heard = self.now;
+        self.unreachable.remove(&from);
         match message {
             Message::Heartbeat {
                 sent,
@@ -434,6 +438,7 @@
     }
 
     fn lose_peer(&mut self, host: HostId) {
+        self.unreachable.insert(host);
         self.reroute_from(host);
     }
 
--- a/crates/core/src/host/storage.rs
+++ b/crates/core/src/host/storage.rs
@@ -252,6 +252,10 @@
         if !peers.is_empty() {
             let peer = peers[self.random(peers.len())];
             self.send(peer, Message::Pull { after });
+            let watcher = self.watcher().filter(|host| *host != self.settings.id);
+            if let Some(watcher) = watcher.filter(|host| *host != peer) {
+                self.send(watcher, Message::Pull { after });
+            }
         }
         if silent {
             self.list_hosts();
@@ -340,15 +344,24 @@
 
     /// Whether this host watches the store for its failure domain.
     fn is_watcher(&self) -> bool {
-        let Some(record) = self.own_record() else {
-            return true;
-        };
-        let on_record = record.hosts.contains_key(&self.settings.id);
-        let first = record
+        let id = self.settings.id;
+        let record = self.own_record();
+        let on_record = record.is_some_and(|record| record.hosts.contains_key(&id));
+        !on_record || self.watcher() == Some(id)
+    }
+
+    /// The host that watches the store for this host's failure domain.
+    ///
+    /// Hosts that cannot be reached are passed over, since one that nobody takes over from
+    /// stays on record.
+    fn watcher(&self) -> Option<HostId> {
+        let record = self.own_record()?;
+        let mut near = record
             .hosts
             .iter()
-            .find(|(_, host)| host.domain == self.settings.domain);
-        !on_record || first.is_some_and(|(id, _)| *id == self.settings.id)
+            .filter(|(_, host)| host.domain == self.settings.domain);
+        near.find(|(id, _)| !self.unreachable.contains(id))
+            .map(|(id, _)| *id)
     }
 
     fn take_watch(&mut self, result: StoreResult) {
--- a/crates/core/tests/core/fleet.rs
+++ b/crates/core/tests/core/fleet.rs
@@ -315,6 +315,15 @@
                 host.id(),
                 host.is_valid()
             ));
+            for record in host.view().records() {
+                for (id, kept) in &record.hosts {
+                    let lost = host.view().is_out(&Subject::Lost(*id));
+                    lines.push(format!(
+                        "  {id} succeeded by {:?} lost {lost}",
+                        kept.successor
+                    ));
+                }
+            }
             for control in host.controls() {
                 let name = host.view().servers.name(control.server);
                 lines.push(format!(
--- a/crates/core/tests/core/peers.rs
+++ b/crates/core/tests/core/peers.rs
@@ -305,3 +305,41 @@
     assert!(!writes_region(&first), "host 3 is there for it");
     assert!(writes_region(&second), "nobody else is left");
 }
+
+#[test]
+fn a_host_watches_the_store_once_the_watcher_of_its_domain_cannot_be_reached() {
+    let mut record = two_hosts();
+    let other = record.hosts.remove(&HostId(2)).unwrap();
+    record.hosts.insert(HostId(0), other);
+    let mut host = Host::new(settings(), 1, start());
+    let call = watch_of(&host.handle(start(), Event::Tick));
+    host.handle(start(), told(vec![region_object(&record, 2)]));
+    let result = StoreResult::Failed;
+    host.handle(start(), Event::Store { call, result });
+    let second = Duration::from_secs(1);
+    let before = watches(&mut host, start(), second);
+    let event = Event::PeerLost { host: HostId(0) };
+    let at_once = has_watch(&host.handle(start() + second, event));
+    let after = watches(&mut host, start() + second, second);
+    assert!(!before, "host 0 watches");
+    assert!(at_once || after);
+}
+
+/// Whether a host begins to watch the store within a span of time.
+fn watches(host: &mut Host, from: Time, span: Duration) -> bool {
+    let mut now = from;
+    let mut seen = false;
+    while now < from + span {
+        let effects = host.handle(now, Event::Tick);
+        seen |= has_watch(&effects);
+        now = now + Duration::from_millis(50);
+    }
+    seen
+}
+
+fn has_watch(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| match effect {
+        Effect::Store { call_kind, .. } => matches!(call_kind, StoreCall::Watch { .. }),
+        _ => false,
+    })
+}
