Orders of a server's earlier run end with its restart

Cause: a server started anew without any host being told that its connections broke (a machine that loses its power does that); its controller waited for three orders of the earlier run before it moved the shards. Ruled out: a move that waits for its target (the trace shows the step draining, running 3, no ghosts).

Change: once the register answers with another boot number, orders of the earlier run end as "may have run" and count as lost with a crash. The fake server forgets its runs at a start, as a new process does.

--- a/crates/core/src/host/leases.rs
+++ b/crates/core/src/host/leases.rs
@@ -402,6 +402,7 @@
         }
         let name = self.server_name(server);
         self.log(Code::ServerRestarted, name, "");
+        self.abandon_earlier(server);
         self.confirm_crash(server);
     }
 
--- a/crates/core/src/host/service.rs
+++ b/crates/core/src/host/service.rs
@@ -1,5 +1,6 @@
 //! Work for the backend servers under this host's control.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::Host;
@@ -174,10 +175,26 @@
 
     /// Ends what a lost server had running.
     pub(super) fn abandon_running(&mut self, server: ServerKey) {
+        self.abandon(server, |_| true);
+    }
+
+    /// Ends what a server had running before it started anew.
+    pub(super) fn abandon_earlier(&mut self, server: ServerKey) {
+        let boot = self.controls.get(&server).and_then(|control| control.boot);
+        self.abandon(server, |running| Some(running.boot) != boot);
+    }
+
+    fn abandon(&mut self, server: ServerKey, matches: impl Fn(&Running) -> bool) {
         let Some(control) = self.controls.get_mut(&server) else {
             return;
         };
-        for (exchange, running) in std::mem::take(&mut control.running) {
+        let orders = std::mem::take(&mut control.running);
+        let (gone, kept) = orders
+            .into_iter()
+            .partition(|(_, running)| matches(running));
+        control.running = kept;
+        let gone: BTreeMap<ExchangeId, Running> = gone;
+        for (exchange, running) in gone {
             self.servers_by_exchange.remove(&exchange);
             self.effects.push(Effect::Cancel { exchange });
             self.suspect(server, &running);
--- a/crates/core/tests/core/fleet/backend.rs
+++ b/crates/core/tests/core/fleet/backend.rs
@@ -77,8 +77,10 @@
         }
     }
 
+    /// Starts anew; what an earlier run still had ends without a word to anybody.
     pub(crate) fn start(&mut self, boot: u64, now: u64) {
         self.alive = true;
+        self.runs.clear();
         self.boot = boot;
         self.cold_until = now + COLD_MICROS;
         self.told_cold = true;
