Free ports are asked of the system again

Cause: ports drawn at random from a range below the outgoing ones met twice in a deployment: one process run in three ended with "address already in use" in the test's own start.

--- a/crates/support/src/deployment.rs
+++ b/crates/support/src/deployment.rs
@@ -26,10 +26,6 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// The name of a host that cannot reach the store.
 const BLIND: &str = "blind";
-/// Ports that stand-ins and hosts listen on.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-/// Ports that are tried for one address.
-const PORT_ATTEMPTS: u32 = 100;
 /// The metric of control messages sent.
 const CONTROL_BYTES: &str = "amaranthshunt.links.control_bytes";
 /// Lines of a host's log in an error.
@@ -131,21 +127,9 @@
 }
 
 /// An address on loopback that nobody listens on.
-///
-/// Its port lies below those that the system gives to outgoing connections, so that none of
-/// them takes it before its process listens.
-///
-/// # Panics
-///
-/// Panics when no port can be listened on.
 pub fn free_address() -> SocketAddr {
-    for _ in 0..PORT_ATTEMPTS {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(PORTS)));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-    panic!("no free port");
+    let bound = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    bound.unwrap_or_else(|error| panic!("no free port: {error}"))
 }
 
 impl Deployment {
