--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod command;
 mod links;
+mod lock;
 mod node;
 mod outcome;
 mod telemetry;
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use amaranthshunt_core::{Event, HostId, Message};
@@ -15,6 +15,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use crate::lock::lock;
 use crate::node::Node;
 
 /// Time that a connection attempt may take.
@@ -81,10 +82,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn write_link(node: Weak<Node>, address: SocketAddr, messages: Receiver<Message>) {
     let _ = write_messages(&node, address, messages).await;
     if let Some(node) = node.upgrade() {
--- a/crates/host/src/node.rs
+++ b/crates/host/src/node.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use amaranthshunt_core::ids::ExchangeId;
@@ -27,6 +27,7 @@
 use crate::calls::{Dispatch, call_register, call_store, give_order};
 use crate::clock::Clock;
 use crate::links::{Links, read_link};
+use crate::lock::lock;
 use crate::telemetry::{Metrics, State, write_log};
 
 /// Time between two looks while the host waits for its end.
@@ -337,10 +338,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/support/src/backend.rs
+++ b/crates/support/src/backend.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use amaranthshunt_core::Time;
@@ -16,6 +16,7 @@
 use tide::{Request, Response};
 
 use crate::journal::Journal;
+use crate::lock::lock;
 use crate::serve::{Tasks, serve};
 
 /// Time between two looks of work that waits for a thaw.
@@ -215,10 +216,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 type Call = Request<Arc<Shared>>;
 
 impl Shared {
--- a/crates/support/src/lib.rs
+++ b/crates/support/src/lib.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod journal;
 mod load;
+mod lock;
 mod metrics;
 mod serve;
 mod store;
--- a/crates/support/src/metrics.rs
+++ b/crates/support/src/metrics.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use async_std::net::UdpSocket;
 use async_std::task;
 
+use crate::lock::lock;
+
 /// The longest datagram that is read, in bytes.
 const DATAGRAM_LIMIT: usize = 2_048;
 
@@ -85,7 +87,3 @@
     let value = value.parse().ok()?;
     (kind == "g").then_some((name, value))
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
