--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -15,7 +15,7 @@
 use super::head::{Framing, RequestHead, ResponseHead};
 
 /// Bytes that are read at a time.
-const READ_SIZE: usize = 8 << 10;
+const READ_SIZE: usize = 4 << 10;
 /// Bytes that are read ahead of a message whose turn has not come.
 const AHEAD_LIMIT: usize = 64 << 10;
 /// Longest line between two chunks, in bytes.
@@ -73,13 +73,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Reads once. A read that is dropped half-way leaves the buffer as it was.
     async fn fill(&mut self) -> io::Result<usize> {
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_SIZE, 0);
-        let read = (&self.stream).read(&mut self.buffer[start..]).await;
-        let count = *read.as_ref().unwrap_or(&0);
-        self.buffer.truncate(start + count);
-        read
+        let mut chunk = [0; READ_SIZE];
+        let count = (&self.stream).read(&mut chunk).await?;
+        self.buffer.extend_from_slice(&chunk[..count]);
+        Ok(count)
     }
 
     /// Waits for the first byte of a message; returns whether there is one.
