Grants: takeover and release hold up under randomised faults

Found besides by the new randomised runs (core, tests/front): an earlier granter may renew a server that has let go, unless that has taken a grant of the present one first; a server that is seen to have restarted may hold what was meant for its earlier life; a lost server without a substitute was never tried again; one hot key changed places for ever.

Ruled out: waiting for a hold on each takeover (keys of healthy servers would be unserved for 6 s).

--- a/crates/core/src/front/balance.rs
+++ b/crates/core/src/front/balance.rs
@@ -14,6 +14,8 @@
 const BUSY: f64 = 0.7;
 /// Difference of utilization that is worth a move.
 const GAP: f64 = 0.3;
+/// Utilization by which the busier of two servers has to gain for a move to be made.
+const GAIN: f64 = 0.1;
 
 /// Requests a second for each key of one service, over all hosts.
 #[derive(Clone, Debug, Default)]
@@ -64,7 +66,8 @@
         best
     }
 
-    fn fade(&mut self, now: Time) {
+    /// Takes in that time has passed.
+    pub fn fade(&mut self, now: Time) {
         let age = now.since(self.faded).as_secs_f64();
         if age < 0.05 {
             return;
@@ -108,9 +111,20 @@
     pub target: Arc<str>,
     /// Requests a second that should move.
     pub rate: f64,
+    source_use: f64,
+    target_rate: f64,
+    target_capacity: f64,
 }
 
 impl Candidate {
+    /// Whether moving so many requests a second leaves the busier server less busy than now.
+    ///
+    /// A single key that is too much for one server only changes places otherwise, for ever.
+    pub fn gains(&self, moved: f64) -> bool {
+        let after = (self.target_rate + moved) / self.target_capacity.max(0.1);
+        after + GAIN <= self.source_use
+    }
+
     /// The busiest and the least busy server, if they are far enough apart.
     pub fn find(servers: &[ServerHeat]) -> Option<Self> {
         let by_use = |a: &&ServerHeat, b: &&ServerHeat| a.utilization().total_cmp(&b.utilization());
@@ -129,6 +143,9 @@
             source: source.id.clone(),
             target: target.id.clone(),
             rate,
+            source_use: source.utilization(),
+            target_rate: target.rate,
+            target_capacity: target.capacity,
         })
     }
 }
--- /dev/null
+++ b/crates/core/src/front/granter/moves.rs
@@ -0,0 +1,445 @@
+//! Keys that get a holder, keep it or move to another one.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::Granter;
+use super::order::{Order, World};
+use super::span::{Holder, Span, Stage};
+use crate::front::balance::{Candidate, ServerHeat};
+use crate::log::Code;
+use crate::time::Time;
+
+/// Moves for balance of one service that may be under way at once.
+const BALANCE_MOVES: usize = 2;
+/// Pieces into which the keys of a lost server are cut, for different servers.
+const PIECES: u32 = 3;
+/// Spans narrower than this are not cut, in keys.
+const NARROW: u32 = 64;
+/// Releases that are tried before the hold is waited out.
+const RELEASE_TRIES: u32 = 2;
+/// Grants without an answer after which a server whose hold has run out is lost.
+const LOST_GRANTS: u32 = 2;
+/// Part of its slots that a server is taken to keep busy when its rate is worked out.
+const EFFICIENCY: f64 = 0.9;
+
+impl Granter {
+    /// Gives every key of a service that is new to it a first server.
+    pub(super) fn place(&mut self, now: Time, world: World<'_>) {
+        for (service, settings) in &world.config.services {
+            if !settings.keyed || self.services.contains_key(service) {
+                continue;
+            }
+            let servers = world.usable(service);
+            let slots: u64 = servers
+                .iter()
+                .map(|server| u64::from(server.entry.slots))
+                .sum();
+            if slots == 0 {
+                continue;
+            }
+            let mut spans = Vec::new();
+            let mut used = 0;
+            let mut from = 0;
+            for server in servers {
+                used += u64::from(server.entry.slots);
+                let end = (used * 65_536 / slots) as u32;
+                let target = server.entry.id.clone();
+                let stage = Stage::Recording {
+                    target,
+                    version: self.next_version,
+                };
+                let to = (end - 1) as u16;
+                spans.push(Span {
+                    from,
+                    to,
+                    holder: None,
+                    free_at: now,
+                    left: None,
+                    past: None,
+                    stage,
+                });
+                from = end as u16;
+            }
+            self.services.insert(service.clone(), spans);
+            self.dirty = true;
+        }
+    }
+
+    pub(super) fn step(
+        &mut self,
+        now: Time,
+        world: World<'_>,
+        service: &Arc<str>,
+        mut span: Span,
+    ) -> Vec<Span> {
+        match span.stage.clone() {
+            Stage::Held => return self.hold(now, world, service, span),
+            Stage::Recording { target, version } => {
+                if self.written >= version {
+                    span.stage = match &span.holder {
+                        Some(_) => Stage::Releasing {
+                            target,
+                            call: None,
+                            tries: 0,
+                            due: now,
+                        },
+                        None => Stage::Expiring {
+                            target,
+                            at: span.free_at,
+                            handover: span.left.take(),
+                        },
+                    };
+                    return self.step(now, world, service, span);
+                }
+            }
+            Stage::Releasing {
+                target,
+                call: None,
+                tries,
+                due,
+            } if due <= now => {
+                self.release(now, world, &mut span, target, tries);
+            }
+            Stage::Releasing { .. } => {}
+            Stage::Expiring {
+                target,
+                at,
+                handover,
+            } if at <= now => {
+                span.past = None;
+                if !world.is_usable(service, &target) {
+                    span.holder = None;
+                    span.left = handover;
+                    span.free_at = now;
+                    return self.retarget(now, world, service, span, false);
+                }
+                span.holder = Some(self.new_holder(now, world, target, handover));
+                span.stage = Stage::Held;
+                self.moved = Some(now);
+                return self.hold(now, world, service, span);
+            }
+            Stage::Expiring { .. } => {}
+        }
+        vec![span]
+    }
+
+    fn new_holder(
+        &mut self,
+        now: Time,
+        world: World<'_>,
+        server: Arc<str>,
+        handover: Option<String>,
+    ) -> Holder {
+        Holder {
+            born: world.find(&server).and_then(|standing| standing.entry.born),
+            server,
+            fence: self.draw_fence(),
+            handover,
+            confirmed: false,
+            presumed: false,
+            bound: false,
+            call: None,
+            next: now,
+            failures: 0,
+            sure_until: now + self.timing.hold,
+            worst_until: now,
+        }
+    }
+
+    /// Renews what a server holds, or begins to move it.
+    fn hold(
+        &mut self,
+        now: Time,
+        world: World<'_>,
+        service: &Arc<str>,
+        mut span: Span,
+    ) -> Vec<Span> {
+        let Some(mut holder) = span.holder.take() else {
+            return self.retarget(now, world, service, span, false);
+        };
+        let born = world
+            .find(&holder.server)
+            .and_then(|standing| standing.entry.born);
+        if born.is_some() && holder.born.is_some() && born != holder.born {
+            let server = holder.server.clone();
+            self.log(Code::ServerRestarted, &server, "its keys are granted anew");
+            // Orders that were meant for the earlier life may have reached this one.
+            let until = holder.worst_until;
+            holder = self.new_holder(now, world, server, None);
+            holder.worst_until = until;
+        }
+        if holder.born.is_none() {
+            holder.born = born;
+        }
+        let usable = world.is_usable(service, &holder.server);
+        let silent = holder.sure_until <= now && holder.failures >= LOST_GRANTS;
+        let server = Some(&holder.server);
+        let lost = silent
+            && self
+                .best(now, world, service, server, &BTreeMap::new())
+                .is_some();
+        if usable && !lost {
+            if holder.call.is_none() && holder.next <= now {
+                self.grant(now, world, &span, &mut holder);
+            }
+            span.holder = Some(holder);
+            return vec![span];
+        }
+        if usable {
+            let server = holder.server.clone();
+            self.log(Code::ServerLost, &server, "grants are not answered");
+        }
+        span.holder = Some(holder);
+        self.retarget(now, world, service, span, usable)
+    }
+
+    fn grant(&mut self, now: Time, world: World<'_>, span: &Span, holder: &mut Holder) {
+        let Some(standing) = world.find(&holder.server) else {
+            return;
+        };
+        let call = self.draw_call();
+        holder.call = Some(call);
+        holder.next = now + self.timing.renewal;
+        self.orders.push(Order::Grant {
+            call,
+            server: holder.server.clone(),
+            address: standing.entry.address,
+            from: span.from,
+            to: span.to,
+            fence: holder.fence,
+            hold: self.timing.hold,
+            handover: holder.handover.clone(),
+            renewal: holder.bound,
+        });
+    }
+
+    /// Asks the holder to let go, or waits until its hold has run out.
+    ///
+    /// A server that an earlier granter may still renew gets a grant of this one first: the
+    /// earlier one's orders are refused from then on, and a release stays one.
+    fn release(
+        &mut self,
+        now: Time,
+        world: World<'_>,
+        span: &mut Span,
+        target: Arc<str>,
+        tries: u32,
+    ) {
+        let Some(mut holder) = span.holder.take() else {
+            return;
+        };
+        let known = world.find(&holder.server);
+        let address = known.map(|standing| standing.entry.address);
+        let given_up = tries >= RELEASE_TRIES || holder.failures >= RELEASE_TRIES;
+        match address {
+            Some(address) if !given_up => {
+                if holder.call.is_some() {
+                    // Two orders of one span at a time could overtake each other.
+                } else if holder.presumed {
+                    if holder.next <= now {
+                        self.grant(now, world, span, &mut holder);
+                    }
+                } else {
+                    let call = self.draw_call();
+                    self.orders.push(Order::Release {
+                        call,
+                        server: holder.server.clone(),
+                        address,
+                        from: span.from,
+                        to: span.to,
+                        fence: holder.fence,
+                    });
+                    span.stage = Stage::Releasing {
+                        target,
+                        call: Some(call),
+                        tries: tries + 1,
+                        due: now,
+                    };
+                }
+            }
+            _ if holder.call.is_some() => {}
+            _ => span.stage = Stage::expiring(target, holder.worst_until),
+        }
+        span.holder = Some(holder);
+    }
+
+    /// Chooses new servers for keys whose server is gone or about to go.
+    fn retarget(
+        &mut self,
+        now: Time,
+        world: World<'_>,
+        service: &Arc<str>,
+        span: Span,
+        lost: bool,
+    ) -> Vec<Span> {
+        let pieces = if span.width() >= NARROW { PIECES } else { 1 };
+        let avoided = if lost {
+            span.holder.as_ref().map(|holder| holder.server.clone())
+        } else {
+            None
+        };
+        let mut chosen = Vec::new();
+        let mut extra = BTreeMap::new();
+        for piece in 0..pieces {
+            let from = u32::from(span.from) + span.width() * piece / pieces;
+            let to = u32::from(span.from) + span.width() * (piece + 1) / pieces - 1;
+            let (from, to) = (from as u16, to as u16);
+            let Some(target) = self.best(now, world, service, avoided.as_ref(), &extra) else {
+                return vec![Span {
+                    stage: Stage::Held,
+                    ..span
+                }];
+            };
+            *extra.entry(target.clone()).or_insert(0) += u32::from(to - from) + 1;
+            let stage = Stage::Recording {
+                target,
+                version: self.next_version,
+            };
+            chosen.push(Span {
+                from,
+                to,
+                stage,
+                ..span.clone()
+            });
+        }
+        self.dirty = true;
+        chosen
+    }
+
+    /// The server with the least work for its size.
+    fn best(
+        &self,
+        now: Time,
+        world: World<'_>,
+        service: &Arc<str>,
+        avoided: Option<&Arc<str>>,
+        extra: &BTreeMap<Arc<str>, u32>,
+    ) -> Option<Arc<str>> {
+        let heats = self.heats(now, world, service);
+        let usable = heats
+            .iter()
+            .filter(|heat| heat.takes && Some(&heat.id) != avoided);
+        let cost = |heat: &ServerHeat| {
+            let more = extra.get(&heat.id).copied().unwrap_or_default();
+            let keys = f64::from(heat.keys + more) / 65_536.0;
+            heat.rate / heat.capacity.max(0.1) + keys * 4.0
+        };
+        let best = usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        Some(best.id.clone())
+    }
+
+    fn heats(&self, now: Time, world: World<'_>, service: &Arc<str>) -> Vec<ServerHeat> {
+        let spans = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let heat = self.heat.get(service);
+        let mut heats: Vec<ServerHeat> = world
+            .usable(service)
+            .iter()
+            .map(|standing| {
+                let mean = standing.load.mean(now).as_secs_f64().max(0.001);
+                ServerHeat {
+                    id: standing.entry.id.clone(),
+                    rate: 0.0,
+                    capacity: f64::from(standing.entry.slots) * EFFICIENCY / mean,
+                    keys: 0,
+                    takes: standing.shunned_until <= now,
+                }
+            })
+            .collect();
+        for span in spans {
+            let Some(target) = span.target() else {
+                continue;
+            };
+            if let Some(server) = heats.iter_mut().find(|server| &server.id == target) {
+                server.keys += span.width();
+                server.rate += heat.map_or(0.0, |heat| heat.rate(span.from, span.to));
+            }
+        }
+        heats
+    }
+
+    pub(super) fn balance(&mut self, now: Time, world: World<'_>, service: &Arc<str>) {
+        let spans = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        if spans.iter().filter(|span| span.is_moving()).count() >= BALANCE_MOVES {
+            return;
+        }
+        if let Some(heat) = self.heat.get_mut(service) {
+            heat.fade(now);
+        }
+        let heats = self.heats(now, world, service);
+        if let Some(newcomer) = heats.iter().find(|heat| heat.takes && heat.keys == 0) {
+            let target = newcomer.id.clone();
+            let widest = (0..spans.len())
+                .filter(|index| !spans[*index].is_moving())
+                .max_by_key(|index| spans[*index].width());
+            let Some(index) = widest.filter(|index| spans[*index].width() > 1) else {
+                return;
+            };
+            let span = &spans[index];
+            let middle = span.from + ((span.width() / 2) as u16);
+            let to = span.to;
+            self.move_part(service, index, middle, to, target);
+            return;
+        }
+        let Some(candidate) = Candidate::find(&heats) else {
+            return;
+        };
+        let Some(heat) = self.heat.get(service) else {
+            return;
+        };
+        let source = |index: &usize| {
+            let span: &Span = &spans[*index];
+            !span.is_moving() && span.target() == Some(&candidate.source)
+        };
+        let rate = |index: &usize| heat.rate(spans[*index].from, spans[*index].to);
+        let hottest = (0..spans.len())
+            .filter(source)
+            .max_by(|a, b| rate(a).total_cmp(&rate(b)));
+        let Some(index) = hottest else { return };
+        let wanted = candidate.rate.min(rate(&index) * 0.9);
+        let Some((from, to)) = heat.hottest(spans[index].from, spans[index].to, wanted) else {
+            return;
+        };
+        if candidate.gains(heat.rate(from, to)) {
+            self.move_part(service, index, from, to, candidate.target);
+        }
+    }
+
+    fn move_part(
+        &mut self,
+        service: &Arc<str>,
+        index: usize,
+        from: u16,
+        to: u16,
+        target: Arc<str>,
+    ) {
+        let version = self.next_version;
+        let Some(spans) = self.services.get_mut(service) else {
+            return;
+        };
+        if spans[index]
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.call.is_some())
+        {
+            return;
+        }
+        let span = spans.remove(index);
+        let mut parts = span.cut(from, to);
+        for part in &mut parts {
+            if part.from == from {
+                part.stage = Stage::Recording {
+                    target: target.clone(),
+                    version,
+                };
+            }
+        }
+        spans.splice(index..index, parts);
+        self.dirty = true;
+        self.log(
+            Code::ShardsMoved,
+            &target,
+            &format!("{service} {from}-{to}"),
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/tests/front/fixture.rs
@@ -0,0 +1,66 @@
+//! Servers, routes and configurations for tests.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthshunt_core::front::{Config, Limits, Part, Route, ServerEntry, Service};
+
+/// The service whose servers hold keys.
+pub(crate) const KEYED: &str = "catalogue";
+
+/// A ready, warm server.
+pub(crate) fn server(id: &str, service: &str, domain: &str, born: u64) -> ServerEntry {
+    let port = 1 + id.bytes().fold(0_u16, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    }) % 60_000;
+    ServerEntry {
+        id: Arc::from(id),
+        service: Arc::from(service),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: domain.to_owned(),
+        slots: 4,
+        draining: false,
+        cold_for: Duration::ZERO,
+        born: Some(born),
+    }
+}
+
+/// A service.
+pub(crate) fn service(keyed: bool) -> Service {
+    Service {
+        health_path: "/health".to_owned(),
+        connections: 100,
+        warm_up: Duration::from_secs(3),
+        warm_rate: 10.0,
+        keyed,
+    }
+}
+
+/// A route of the host name `shop`.
+pub(crate) fn route(name: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "shop".to_owned(),
+        prefix: prefix.to_owned(),
+        idempotent: true,
+        timeout: Duration::from_secs(2),
+        target: Duration::from_millis(500),
+        priority: 1,
+        parts: vec![Part {
+            service: Arc::from(service),
+            weight: 1,
+        }],
+        attempts: 2,
+        homes: Vec::new(),
+    }
+}
+
+/// A configuration with one keyed service and one without keys.
+pub(crate) fn config(version: u64, routes: Vec<Route>) -> Config {
+    let services = BTreeMap::from([
+        (Arc::from(KEYED), service(true)),
+        (Arc::from("orders"), service(false)),
+    ]);
+    Config::new(version, routes, services, Limits::default())
+}
--- /dev/null
+++ b/crates/core/tests/front/sim.rs
@@ -0,0 +1,846 @@
+//! Hosts, servers and a store with faults, to run granters against.
+//!
+//! Time goes on in steps. Orders take time, get lost, lose their answers or are carried out late;
+//! hosts freeze, die, and lose the store, each other or servers; servers die and come back under
+//! the same identifier. After each step, no key may be held by two servers that are up.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthshunt_core::Time;
+use amaranthshunt_core::front::{
+    Granter, GranterTiming, Order, OrderReply, Placement, Servers, World,
+};
+use amaranthshunt_core::ids::CallId;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::fixture::{KEYED, config, server};
+
+/// Milliseconds of one step.
+const STEP: u64 = 10;
+/// Time without an answer after which an order's connection is aborted, in milliseconds.
+const ORDER_LIMIT: u64 = 800;
+/// Time without the granting host after which another one is a candidate, in milliseconds.
+const SILENCE: u64 = 1_600;
+/// The timing that hosts use.
+pub(crate) const TIMING: GranterTiming = GranterTiming {
+    hold: Duration::from_millis(4_000),
+    renewal: Duration::from_millis(1_200),
+    authority: Duration::from_millis(2_000),
+    margin: Duration::from_millis(300),
+    tidy: Duration::from_millis(3_000),
+};
+
+#[derive(Clone, Debug)]
+struct Hold {
+    from: u16,
+    to: u16,
+    fence: u64,
+    until: u64,
+}
+
+/// A server that holds keys.
+#[derive(Debug)]
+struct Backend {
+    id: Arc<str>,
+    up: bool,
+    born: u64,
+    back_at: u64,
+    draining: bool,
+    holds: Vec<Hold>,
+    seen: Vec<(u16, u16, u64)>,
+}
+
+impl Backend {
+    fn grant(&mut self, from: u16, to: u16, fence: u64, until: u64) -> bool {
+        let newer = self
+            .seen
+            .iter()
+            .any(|(a, b, seen)| *a <= to && from <= *b && *seen > fence);
+        if newer {
+            return false;
+        }
+        self.seen.retain(|(a, b, _)| *a < from || *b > to);
+        self.seen.push((from, to, fence));
+        self.cut(from, to, fence);
+        self.holds.push(Hold {
+            from,
+            to,
+            fence,
+            until,
+        });
+        true
+    }
+
+    /// Takes keys out of every hold.
+    fn cut(&mut self, from: u16, to: u16, fence: u64) {
+        let mut kept = Vec::new();
+        for hold in self.holds.drain(..) {
+            if hold.to < from || to < hold.from || hold.fence > fence {
+                kept.push(hold);
+                continue;
+            }
+            if hold.from < from {
+                kept.push(Hold {
+                    to: from - 1,
+                    ..hold.clone()
+                });
+            }
+            if to < hold.to {
+                kept.push(Hold {
+                    from: to + 1,
+                    ..hold
+                });
+            }
+        }
+        self.holds = kept;
+    }
+}
+
+/// An entry host.
+#[derive(Debug)]
+struct Entry {
+    up: bool,
+    back_at: u64,
+    frozen_until: u64,
+    store: bool,
+    granter: Option<Granter>,
+    revision: u64,
+    heard: u64,
+    followed: u64,
+    candidate_at: u64,
+    /// The revision of the record when the host became a candidate.
+    candidate_for: u64,
+    /// Waits for the store: a record and when it was last tried.
+    write: Option<(Placement, u64)>,
+    servers: Servers,
+}
+
+#[derive(Clone, Debug)]
+enum Delivery {
+    Order {
+        host: usize,
+        order: Order,
+        sent: u64,
+        late: bool,
+    },
+    Answer {
+        host: usize,
+        call: CallId,
+        sent: u64,
+        reply: OrderReply,
+    },
+    Entries {
+        host: usize,
+    },
+}
+
+/// The whole deployment.
+#[derive(Debug)]
+pub(crate) struct Sim {
+    rng: SmallRng,
+    now: u64,
+    sequence: u64,
+    queue: BTreeMap<(u64, u64), Delivery>,
+    open: BTreeMap<(usize, u64, u64), (u64, bool)>,
+    entries: Vec<Entry>,
+    backends: Vec<Backend>,
+    record: Option<(u64, Placement)>,
+    store_up: bool,
+    cut_hosts: BTreeSet<(usize, usize)>,
+    cut_servers: BTreeSet<(usize, usize)>,
+    faults: bool,
+    late: bool,
+    /// What was found wrong.
+    pub(crate) broken: Option<String>,
+}
+
+impl Sim {
+    /// Makes a deployment of so many hosts and servers.
+    pub(crate) fn new(seed: u64, hosts: usize, servers: usize) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        let backend = |index: usize| Backend {
+            id: Arc::from(format!("s{index}")),
+            up: true,
+            born: 1,
+            back_at: 0,
+            draining: false,
+            holds: Vec::new(),
+            seen: Vec::new(),
+        };
+        let entry = |_| Entry {
+            up: true,
+            back_at: 0,
+            frozen_until: 0,
+            store: true,
+            granter: None,
+            revision: 0,
+            heard: 0,
+            followed: 0,
+            candidate_at: 0,
+            candidate_for: 0,
+            write: None,
+            servers: Servers::default(),
+        };
+        let mut sim = Self {
+            rng,
+            now: 1_000,
+            sequence: 0,
+            queue: BTreeMap::new(),
+            open: BTreeMap::new(),
+            entries: (0..hosts).map(entry).collect(),
+            backends: (0..servers).map(backend).collect(),
+            record: None,
+            store_up: true,
+            cut_hosts: BTreeSet::new(),
+            cut_servers: BTreeSet::new(),
+            faults: true,
+            late: false,
+            broken: None,
+        };
+        sim.late = sim.rng.random_bool(0.5);
+        for host in 0..hosts {
+            sim.read_entries(host);
+        }
+        sim
+    }
+
+    /// Runs with faults for so many milliseconds, or until something is wrong.
+    pub(crate) fn run(&mut self, millis: u64) {
+        self.go(millis);
+    }
+
+    /// Ends all faults and runs on.
+    pub(crate) fn heal(&mut self, millis: u64) {
+        self.faults = false;
+        self.late = false;
+        self.store_up = true;
+        self.cut_hosts.clear();
+        self.cut_servers.clear();
+        for entry in &mut self.entries {
+            entry.store = true;
+        }
+        for backend in &mut self.backends {
+            backend.draining = false;
+        }
+        self.tell_entries();
+        self.go(millis);
+    }
+
+    /// Keys that no server holds for which the granting host's table names it.
+    pub(crate) fn unserved(&self) -> u32 {
+        let granters = self
+            .entries
+            .iter()
+            .filter_map(|entry| entry.granter.as_ref());
+        if std::env::var("GRANT_SHOW").is_ok() {
+            for entry in &self.entries {
+                println!(
+                    "HOST up {} frozen {} heard {} followed {} granter {:?} write {}",
+                    entry.up,
+                    entry.frozen_until,
+                    entry.heard,
+                    entry.followed,
+                    entry.granter.as_ref().map(Granter::term),
+                    entry.write.is_some()
+                );
+            }
+        }
+        let Some(granter) = granters.max_by_key(|granter| granter.term()) else {
+            return 65_536;
+        };
+        let Some(spans) = granter.table().services.get(KEYED) else {
+            return 65_536;
+        };
+        let mut missing = 0;
+        for span in spans {
+            let held = span.server.as_ref().is_some_and(|id| {
+                let backend = self.backends.iter().find(|backend| backend.id == *id);
+                backend.is_some_and(|backend| {
+                    let holds = |key: u16| {
+                        backend
+                            .holds
+                            .iter()
+                            .any(|hold| hold.from <= key && key <= hold.to && hold.until > self.now)
+                    };
+                    backend.up && holds(span.from) && holds(span.to)
+                })
+            });
+            if !held {
+                if std::env::var("GRANT_SHOW").is_ok() {
+                    println!("NOT HELD {span:?} at {}", self.now);
+                    let text = format!("{granter:?}");
+                    let at = text
+                        .find(&format!("Span {{ from: {}, to: {}", span.from, span.to))
+                        .unwrap_or(0);
+                    println!("{}", &text[at..(at + 700).min(text.len())]);
+                    for backend in &self.backends {
+                        println!("  {} up {} {:?}", backend.id, backend.up, backend.holds);
+                    }
+                }
+                missing += u32::from(span.to) - u32::from(span.from) + 1;
+            }
+        }
+        missing
+    }
+
+    fn go(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end && self.broken.is_none() {
+            self.now += STEP;
+            if self.faults {
+                self.break_something();
+            }
+            self.revive();
+            self.deliver();
+            for host in 0..self.entries.len() {
+                self.act(host);
+            }
+            self.check();
+        }
+    }
+
+    /// Whether something is lost now.
+    fn loses(&mut self, share: f64) -> bool {
+        self.faults && self.rng.random_bool(share)
+    }
+
+    fn time(&self) -> Time {
+        Time::from_millis(self.now)
+    }
+
+    fn push(&mut self, after: u64, delivery: Delivery) {
+        self.show("queued", &delivery);
+        self.sequence += 1;
+        self.queue
+            .insert((self.now + after, self.sequence), delivery);
+    }
+
+    /// Prints what concerns the key in `GRANT_KEY`, for a seed that is looked into.
+    fn show(&self, what: &str, delivery: &Delivery) {
+        let Some(key) = std::env::var("GRANT_KEY")
+            .ok()
+            .and_then(|text| text.parse::<u16>().ok())
+        else {
+            return;
+        };
+        let concerns = match delivery {
+            Delivery::Order {
+                order: Order::Grant { from, to, .. } | Order::Release { from, to, .. },
+                ..
+            } => *from <= key && key <= *to,
+            Delivery::Answer { .. } => true,
+            _ => false,
+        };
+        if concerns {
+            println!("{} {what} {delivery:?}", self.now);
+        }
+    }
+
+    fn break_something(&mut self) {
+        if !self.rng.random_bool(0.008) {
+            return;
+        }
+        let host = self.rng.random_range(0..self.entries.len());
+        let other = self.rng.random_range(0..self.entries.len());
+        let index = self.rng.random_range(0..self.backends.len());
+        let span = self.rng.random_range(200..6_000);
+        match self.rng.random_range(0..12) {
+            0 => self.entries[host].frozen_until = self.now + span,
+            1 => {
+                let entry = &mut self.entries[host];
+                entry.up = false;
+                entry.granter = None;
+                entry.write = None;
+                entry.back_at = self.now + span / 4;
+            }
+            2 => self.entries[host].store = !self.entries[host].store,
+            3 => self.store_up = !self.store_up,
+            4 => {
+                self.cut_hosts.insert((host, other));
+                self.cut_hosts.insert((other, host));
+            }
+            5 => self.cut_hosts.clear(),
+            6 => {
+                self.cut_servers.insert((host, index));
+            }
+            7 => self.cut_servers.clear(),
+            8 => {
+                let backend = &mut self.backends[index];
+                backend.up = false;
+                backend.holds.clear();
+                backend.seen.clear();
+                backend.back_at = self.now + span;
+                self.tell_entries();
+            }
+            9 => {
+                self.backends[index].draining = !self.backends[index].draining;
+                self.tell_entries();
+            }
+            10 => {
+                for entry in &mut self.entries {
+                    entry.store = true;
+                }
+            }
+            _ => {
+                let service = Arc::from(KEYED);
+                let now = self.time();
+                let hot: Vec<(u16, u32)> = (0..30)
+                    .map(|key| (index as u16 * 1_000 + key, 20))
+                    .collect();
+                for entry in &mut self.entries {
+                    if let Some(granter) = &mut entry.granter {
+                        granter.heat(now, &service, hot.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    fn revive(&mut self) {
+        for host in 0..self.entries.len() {
+            let entry = &mut self.entries[host];
+            if !entry.up && entry.back_at <= self.now {
+                entry.up = true;
+                entry.heard = self.now;
+                self.read_entries(host);
+            }
+        }
+        let mut changed = false;
+        for backend in &mut self.backends {
+            if !backend.up && backend.back_at <= self.now {
+                backend.up = true;
+                backend.draining = false;
+                backend.born += 1;
+                changed = true;
+            }
+        }
+        if changed {
+            self.tell_entries();
+        }
+    }
+
+    /// Tells every host of the servers, some time later.
+    fn tell_entries(&mut self) {
+        for host in 0..self.entries.len() {
+            let after = self.rng.random_range(100..2_500);
+            self.push(after, Delivery::Entries { host });
+        }
+    }
+
+    fn read_entries(&mut self, host: usize) {
+        let now = self.time();
+        for backend in &self.backends {
+            let servers = &mut self.entries[host].servers;
+            if backend.up {
+                let mut entry = server(&backend.id, KEYED, "r/a", backend.born);
+                entry.draining = backend.draining;
+                servers.learn(now, entry, None);
+            } else if let Some(key) = servers.find(&backend.id) {
+                servers.remove(key);
+            }
+        }
+    }
+
+    fn is_frozen(&self, host: usize) -> bool {
+        let entry = &self.entries[host];
+        !entry.up || entry.frozen_until > self.now
+    }
+
+    fn deliver(&mut self) {
+        while let Some(((at, number), delivery)) = self.queue.pop_first() {
+            if at > self.now {
+                self.queue.insert((at, number), delivery);
+                break;
+            }
+            match delivery {
+                Delivery::Entries { host }
+                    if !self.is_frozen(host) && self.store_up && self.entries[host].store =>
+                {
+                    self.read_entries(host)
+                }
+                Delivery::Entries { host } => self.push(200, Delivery::Entries { host }),
+                Delivery::Order {
+                    host,
+                    order,
+                    sent,
+                    late,
+                } => self.take_order(host, order, sent, late),
+                Delivery::Answer {
+                    host,
+                    call,
+                    sent,
+                    reply,
+                } => self.take_answer(host, call, sent, reply),
+            }
+        }
+        let overdue: Vec<(usize, u64, u64)> = self
+            .open
+            .iter()
+            .filter(|((host, _, _), (sent, _))| {
+                self.now >= sent + ORDER_LIMIT && !self.is_frozen(*host)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for (host, term, call) in overdue {
+            let (sent, _) = self.open.remove(&(host, term, call)).unwrap();
+            let now = self.time();
+            if let Some(granter) = self.entries[host]
+                .granter
+                .as_mut()
+                .filter(|granter| granter.term() == term)
+            {
+                granter.answered(
+                    now,
+                    CallId(call),
+                    Time::from_millis(sent),
+                    OrderReply::Unknown,
+                );
+            }
+        }
+    }
+
+    fn take_order(&mut self, host: usize, order: Order, sent: u64, late: bool) {
+        let (call, id, fence) = match &order {
+            Order::Grant {
+                call,
+                server,
+                fence,
+                ..
+            }
+            | Order::Release {
+                call,
+                server,
+                fence,
+                ..
+            } => (*call, server.clone(), *fence),
+            _ => return,
+        };
+        let term = fence >> 24;
+        let waits = self.open.contains_key(&(host, term, call.0));
+        // An aborted connection takes what it carried along; work begun late goes on.
+        if !waits && !late {
+            return;
+        }
+        let index = self
+            .backends
+            .iter()
+            .position(|backend| backend.id == id)
+            .unwrap();
+        if !self.backends[index].up || self.cut_servers.contains(&(host, index)) {
+            return;
+        }
+        if !late && self.late && self.rng.random_bool(0.2) {
+            let after = self.rng.random_range(2_000..12_000);
+            let arrival = self.now;
+            let born = self.backends[index].born;
+            self.hold_late(order, born, arrival, after);
+            return;
+        }
+        let arrival = if late { sent } else { self.now };
+        let reply = self.carry_out(index, &order, arrival);
+        if waits && !self.loses(0.04) {
+            let after = self.rng.random_range(1..60);
+            self.push(
+                after,
+                Delivery::Answer {
+                    host,
+                    call,
+                    sent,
+                    reply,
+                },
+            );
+        }
+    }
+
+    /// Keeps an order that is carried out long after its arrival, from when its time counts.
+    fn hold_late(&mut self, order: Order, born: u64, arrival: u64, after: u64) {
+        let host = usize::MAX;
+        let _ = born;
+        self.push(
+            after,
+            Delivery::Order {
+                host,
+                order,
+                sent: arrival,
+                late: true,
+            },
+        );
+    }
+
+    fn carry_out(&mut self, index: usize, order: &Order, arrival: u64) -> OrderReply {
+        match order {
+            Order::Grant {
+                from,
+                to,
+                fence,
+                hold,
+                ..
+            } => {
+                // The slowest clock that is allowed.
+                let until = arrival + hold.as_millis() as u64 * 102 / 100;
+                if until <= self.now {
+                    return OrderReply::Done(None);
+                }
+                self.check_fence(index, *from, *to, *fence);
+                if self.backends[index].grant(*from, *to, *fence, until) {
+                    OrderReply::Done(None)
+                } else {
+                    OrderReply::Fenced
+                }
+            }
+            Order::Release {
+                from, to, fence, ..
+            } => {
+                self.backends[index].cut(*from, *to, *fence);
+                OrderReply::Done(Some("handed over".to_owned()))
+            }
+            _ => OrderReply::Done(None),
+        }
+    }
+
+    fn check_fence(&mut self, index: usize, from: u16, to: u16, fence: u64) {
+        let newer = self.backends[index]
+            .seen
+            .iter()
+            .any(|(a, b, seen)| *a <= to && from <= *b && *seen > fence);
+        if newer {
+            return;
+        }
+        for (other, backend) in self.backends.iter().enumerate() {
+            let above = backend
+                .seen
+                .iter()
+                .find(|(a, b, seen)| *a <= to && from <= *b && *seen >= fence);
+            if other != index && above.is_some() && backend.up {
+                let id = &self.backends[index].id;
+                self.broken = Some(format!(
+                    "at {}: {id} takes {from}-{to} with {fence}, {} has had {above:?}",
+                    self.now, backend.id
+                ));
+                return;
+            }
+        }
+    }
+
+    fn take_answer(&mut self, host: usize, call: CallId, sent: u64, reply: OrderReply) {
+        if self.is_frozen(host) {
+            if self.entries[host].up {
+                self.push(
+                    50,
+                    Delivery::Answer {
+                        host,
+                        call,
+                        sent,
+                        reply,
+                    },
+                );
+            }
+            return;
+        }
+        let Some(term) = self.entries[host].granter.as_ref().map(Granter::term) else {
+            return;
+        };
+        if self.open.remove(&(host, term, call.0)).is_none() {
+            return;
+        }
+        let now = self.time();
+        if let Some(granter) = &mut self.entries[host].granter {
+            granter.answered(now, call, Time::from_millis(sent), reply);
+        }
+    }
+
+    fn reaches_store(&self, host: usize) -> bool {
+        self.store_up && self.entries[host].store
+    }
+
+    fn hears(&self, host: usize, other: usize) -> bool {
+        !self.cut_hosts.contains(&(host, other)) && !self.is_frozen(host) && !self.is_frozen(other)
+    }
+
+    /// What one host does in a step.
+    fn act(&mut self, host: usize) {
+        if self.is_frozen(host) {
+            return;
+        }
+        self.write(host);
+        if self.entries[host].granter.is_some() {
+            self.confirm(host);
+            self.grant(host);
+        } else {
+            self.stand_by(host);
+        }
+    }
+
+    fn confirm(&mut self, host: usize) {
+        let term = self.entries[host].granter.as_ref().map_or(0, Granter::term);
+        if self.now % 500 != 0 {
+            return;
+        }
+        let mut echoes = 1;
+        for other in 0..self.entries.len() {
+            if other != host && self.hears(host, other) {
+                let entry = &mut self.entries[other];
+                if entry.granter.is_none() && entry.followed <= term {
+                    entry.followed = term;
+                    entry.heard = self.now;
+                    echoes += 1;
+                }
+            }
+        }
+        let now = self.time();
+        if echoes * 2 > self.entries.len() {
+            self.entries[host].granter.as_mut().unwrap().confirm(now);
+        }
+        if self.reaches_store(host) {
+            let current = self
+                .record
+                .as_ref()
+                .is_some_and(|(_, record)| record.term == term);
+            if current {
+                self.entries[host].granter.as_mut().unwrap().confirm(now);
+            } else {
+                self.entries[host].granter = None;
+                self.entries[host].write = None;
+                self.entries[host].heard = self.now;
+            }
+        }
+    }
+
+    fn record_revision(&self) -> u64 {
+        self.record.as_ref().map_or(0, |(revision, _)| *revision)
+    }
+
+    fn stand_by(&mut self, host: usize) {
+        let silent = self.now - self.entries[host].heard;
+        if silent < SILENCE || !self.reaches_store(host) {
+            self.entries[host].candidate_at = 0;
+            return;
+        }
+        if self.entries[host].candidate_at == 0 {
+            self.entries[host].candidate_at = self.now + self.rng.random_range(0..300);
+            self.entries[host].candidate_for = self.record_revision();
+        }
+        if self.now < self.entries[host].candidate_at {
+            return;
+        }
+        self.entries[host].candidate_at = 0;
+        if self.entries[host].candidate_for != self.record_revision() {
+            self.entries[host].heard = self.now;
+            return;
+        }
+        let seen = self.record.clone();
+        let (term, version, services) = seen.map_or((0, 0, BTreeMap::new()), |(_, record)| {
+            (record.term, record.version, record.services)
+        });
+        let record = Placement {
+            term: term + 1,
+            version: version + 1,
+            holder: format!("h{host}"),
+            address: ([127, 0, 0, 1], 1).into(),
+            services,
+        };
+        let revision = self.record.as_ref().map_or(1, |(revision, _)| revision + 1);
+        self.record = Some((revision, record.clone()));
+        let now = self.time();
+        let entry = &mut self.entries[host];
+        entry.revision = revision;
+        entry.followed = record.term;
+        entry.granter = Some(Granter::new(now, &record, TIMING));
+    }
+
+    fn write(&mut self, host: usize) {
+        let Some((placement, tried)) = self.entries[host].write.clone() else {
+            return;
+        };
+        if self.now < tried + 300 || !self.reaches_store(host) {
+            return;
+        }
+        self.entries[host].write = Some((placement.clone(), self.now));
+        let (revision, kept) = self.record.clone().unwrap();
+        let done = kept == placement;
+        if !done && revision != self.entries[host].revision {
+            self.entries[host].granter = None;
+            self.entries[host].write = None;
+            return;
+        }
+        if !done {
+            self.record = Some((revision + 1, placement.clone()));
+        }
+        // The answer may be lost; the same call is made again then.
+        if !self.loses(0.3) {
+            let entry = &mut self.entries[host];
+            entry.revision = self.record.as_ref().unwrap().0;
+            entry.write = None;
+            entry.granter.as_mut().unwrap().recorded(placement.version);
+        }
+    }
+
+    fn grant(&mut self, host: usize) {
+        let now = self.time();
+        let config = config(1, Vec::new());
+        let evacuated = BTreeSet::new();
+        let entry = &mut self.entries[host];
+        let Some(granter) = &mut entry.granter else {
+            return;
+        };
+        let world = World {
+            servers: &entry.servers,
+            config: &config,
+            evacuated: &evacuated,
+        };
+        let orders = granter.advance(now, world);
+        for order in orders {
+            let (call, fence) = match &order {
+                Order::Grant { call, fence, .. } | Order::Release { call, fence, .. } => {
+                    (*call, *fence)
+                }
+                Order::Write(placement) => {
+                    self.entries[host].write = Some((placement.clone(), 0));
+                    continue;
+                }
+                Order::Log(_) => continue,
+            };
+            let sent = self.now;
+            self.open.insert((host, fence >> 24, call.0), (sent, false));
+            if !self.loses(0.03) {
+                let after = self.rng.random_range(1..60);
+                self.push(
+                    after,
+                    Delivery::Order {
+                        host,
+                        order,
+                        sent,
+                        late: false,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Finds keys that two servers hold.
+    fn check(&mut self) {
+        for backend in &mut self.backends {
+            backend.holds.retain(|hold| hold.until > self.now);
+        }
+        for (index, one) in self.backends.iter().enumerate() {
+            for other in &self.backends[index + 1..] {
+                for a in &one.holds {
+                    let both = other
+                        .holds
+                        .iter()
+                        .find(|b| a.from <= b.to && b.from <= a.to);
+                    if let Some(b) = both {
+                        self.broken = Some(format!(
+                            "at {}: {} holds {a:?}, {} holds {b:?}",
+                            self.now, one.id, other.id
+                        ));
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -37,7 +37,7 @@
 /// Transit of an order and its abort, on top of the worst-case hold.
 const MARGIN: Duration = Duration::from_millis(300);
 /// Time before moves that have ended are taken off record.
-const TIDY: Duration = Duration::from_millis(3_000);
+const TIDY: Duration = Duration::from_millis(1_000);
 /// Time between two looks at what has to be ordered.
 const TICK: Duration = Duration::from_millis(40);
 /// Time between two beats.
@@ -50,8 +50,10 @@
 const STORE_PAUSE: Duration = Duration::from_millis(400);
 /// Longest random wait before the record is written by a host that would grant.
 const CANDIDACY: Duration = Duration::from_millis(300);
-/// Time for servers to be on the list before keys are placed the first time.
-const FIRST_PLACING: Duration = Duration::from_millis(1_500);
+/// Time without a new server after which keys are placed the first time.
+const FIRST_CALM: Duration = Duration::from_millis(1_800);
+/// Longest time before keys are placed the first time.
+const FIRST_PLACING: Duration = Duration::from_millis(5_000);
 
 /// What the granting host keeps beside the granter itself.
 pub(crate) struct Leading {
@@ -391,10 +393,16 @@
     let mut beaten = Time::ZERO;
     let mut asked = Time::ZERO;
     let mut published = 0;
+    let mut counted = (0, started);
     while !leading.is_ended() {
         let now = clock::now();
         confirm(front, &leading, now, &mut asked);
-        let waits = first && now.since(started) < FIRST_PLACING;
+        let count = front.route(|router, _| router.servers().iter().count());
+        if count != counted.0 {
+            counted = (count, now);
+        }
+        let calm = count > 0 && now.since(counted.1) >= FIRST_CALM;
+        let waits = first && !calm && now.since(started) < FIRST_PLACING;
         if !waits {
             advance(front, &leading, &mut published);
         }
