Balance: hot keys spread over as many servers as they need at once

Cause: two moves a service every 400 ms, each between two servers only, and capacities worked out from a first guess of 120 ms. Now up to 12 moves a round, each filling its target up to the mean, with the service's own usual time of work; a part that gains nothing is tried smaller.

--- a/crates/core/src/front/balance.rs
+++ b/crates/core/src/front/balance.rs
@@ -105,47 +105,57 @@
 /// Two servers between which load should move.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
-    /// The server that gives keys away.
-    pub source: Arc<str>,
-    /// The server that gets them.
-    pub target: Arc<str>,
+    /// The index of the server that gives keys away.
+    pub source: usize,
+    /// The index of the server that gets them.
+    pub target: usize,
     /// Requests a second that should move.
     pub rate: f64,
-    source_use: f64,
-    target_rate: f64,
-    target_capacity: f64,
 }
 
 impl Candidate {
-    /// Whether moving so many requests a second leaves the busier server less busy than now.
+    /// The busiest server that is not among the `stuck` ones, and the least busy one, if they are
+    /// far enough apart.
     ///
-    /// A single key that is too much for one server only changes places otherwise, for ever.
-    pub fn gains(&self, moved: f64) -> bool {
-        let after = (self.target_rate + moved) / self.target_capacity.max(0.1);
-        after + GAIN <= self.source_use
-    }
-
-    /// The busiest and the least busy server, if they are far enough apart.
-    pub fn find(servers: &[ServerHeat]) -> Option<Self> {
-        let by_use = |a: &&ServerHeat, b: &&ServerHeat| a.utilization().total_cmp(&b.utilization());
-        let source = servers.iter().max_by(by_use)?;
-        let target = servers
-            .iter()
-            .filter(|server| server.takes)
+    /// The target is filled up to the mean of all, so that keys that turn hot together spread over
+    /// as many servers as they need.
+    pub fn find(servers: &[ServerHeat], stuck: &[usize]) -> Option<Self> {
+        let by_use = |a: &usize, b: &usize| {
+            let (a, b) = (servers[*a].utilization(), servers[*b].utilization());
+            a.total_cmp(&b)
+        };
+        let indices = 0..servers.len();
+        let source = indices
+            .clone()
+            .filter(|index| !stuck.contains(index))
+            .max_by(by_use)?;
+        let target = indices
+            .filter(|index| servers[*index].takes)
             .min_by(by_use)?;
-        let gap = source.utilization() - target.utilization();
-        if source.utilization() < BUSY || gap < GAP {
+        let (giver, taker) = (&servers[source], &servers[target]);
+        let gap = giver.utilization() - taker.utilization();
+        if giver.utilization() < BUSY || gap < GAP {
             return None;
         }
-        let level = (source.rate + target.rate) / (source.capacity + target.capacity).max(0.1);
-        let rate = source.rate - level * source.capacity;
+        let rates: f64 = servers.iter().map(|server| server.rate).sum();
+        let capacities: f64 = servers.iter().map(|server| server.capacity).sum();
+        let mean = rates / capacities.max(0.1);
+        let level = (giver.rate + taker.rate) / (giver.capacity + taker.capacity).max(0.1);
+        let spare = mean.max(level.min(BUSY)) * taker.capacity - taker.rate;
+        let rate = (giver.rate - level * giver.capacity).min(spare.max(0.1));
         Some(Self {
-            source: source.id.clone(),
-            target: target.id.clone(),
+            source,
+            target,
             rate,
-            source_use: source.utilization(),
-            target_rate: target.rate,
-            target_capacity: target.capacity,
         })
     }
+
+    /// Whether moving so many requests a second leaves the busier server less busy than now.
+    ///
+    /// A single key that is too much for one server only changes places otherwise, for ever.
+    pub fn gains(&self, servers: &[ServerHeat], moved: f64) -> bool {
+        let taker = &servers[self.target];
+        let after = (taker.rate + moved) / taker.capacity.max(0.1);
+        after + GAIN <= servers[self.source].utilization()
+    }
 }
--- a/crates/core/src/front/cold.rs
+++ b/crates/core/src/front/cold.rs
@@ -8,6 +8,10 @@
 /// The window of the bound on a cold server, and a little for requests that bunch on the way.
 const WINDOW: Duration = Duration::from_millis(1_150);
 
+/// Part of a share below one request a second that is used: hosts that send rarely may all send
+/// in the same second.
+const SPARSE_CAUTION: f64 = 0.4;
+
 /// Requests sent to a cold server by this host, against its share of the bound.
 ///
 /// The bound is over all hosts, in contact or not, so each host takes an equal share of it and
@@ -25,7 +29,7 @@
         let (count, window) = if share >= 1.0 {
             (share.floor() as usize, WINDOW)
         } else {
-            (1, WINDOW.div_f64(share.max(0.01)))
+            (1, WINDOW.div_f64((share * SPARSE_CAUTION).max(0.01)))
         };
         while self.sent.front().is_some_and(|at| now.since(*at) >= window) {
             self.sent.pop_front();
--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -26,6 +26,8 @@
 const TERM_SHIFT: u32 = 24;
 /// Time between two looks at the balance of a service.
 const BALANCING: Duration = Duration::from_millis(400);
+/// Time after which a granter that few hosts follow takes the others for gone.
+const MINORITY_WAIT: Duration = Duration::from_secs(20);
 /// Time before an order without an answer is given again.
 const REPEAT: Duration = Duration::from_millis(250);
 
@@ -52,6 +54,9 @@
     heat: BTreeMap<Arc<str>, KeyHeat>,
     doubts: Vec<Doubt>,
     confirmed: Time,
+    started: Time,
+    /// Since when more than half of the hosts have followed this one.
+    followed: Option<Time>,
     next_call: u64,
     next_fence: u64,
     next_version: u64,
@@ -80,6 +85,8 @@
             heat: BTreeMap::new(),
             doubts: Vec::new(),
             confirmed: now,
+            started: now,
+            followed: None,
             next_call: 0,
             next_fence: 0,
             next_version: record.version + 1,
@@ -158,6 +165,21 @@
         self.confirmed = self.confirmed.max(at);
     }
 
+    /// Takes in that more than half of the hosts, this one included, follow this one.
+    pub fn follow(&mut self, now: Time) {
+        self.followed.get_or_insert(now);
+    }
+
+    /// Whether an earlier granter has surely come to its end.
+    ///
+    /// One that is cut off from the store goes on while more than half of the hosts follow it, so
+    /// keys are taken from a silent server only once they follow this one. Hosts that are gone
+    /// for good must not hold that up for ever.
+    fn is_alone(&self, now: Time) -> bool {
+        let since = self.followed.unwrap_or(self.started + MINORITY_WAIT);
+        now >= since + self.timing.authority + self.timing.worst()
+    }
+
     /// Whether this host may give orders.
     pub fn is_confirmed(&self, now: Time) -> bool {
         now.since(self.confirmed) < self.timing.authority
@@ -259,6 +281,7 @@
                             target,
                             at,
                             handover: handover.clone(),
+                            released: true,
                         }
                     }
                     _ => Stage::Releasing {
--- a/crates/core/src/front/granter/moves.rs
+++ b/crates/core/src/front/granter/moves.rs
@@ -7,11 +7,16 @@
 use super::order::{Order, World};
 use super::span::{Holder, Span, Stage};
 use crate::front::balance::{Candidate, ServerHeat};
+use crate::front::load::FIRST_MEAN;
 use crate::log::Code;
 use crate::time::Time;
 
-/// Moves for balance of one service that may be under way at once.
-const BALANCE_MOVES: usize = 2;
+/// Moves for balance of one service that may be begun at once.
+const BALANCE_MOVES: usize = 12;
+/// Moves of one service under way beyond which none is begun for balance.
+const BUSY_MOVES: usize = 24;
+/// Ever smaller parts of a span that are looked at for a move.
+const PART_TRIES: usize = 4;
 /// Pieces into which the keys of a lost server are cut, for different servers.
 const PIECES: u32 = 3;
 /// Spans narrower than this are not cut, in keys.
@@ -88,6 +93,7 @@
                             target,
                             at: span.free_at,
                             handover: span.left.take(),
+                            released: true,
                         },
                     };
                     return self.step(now, world, service, span);
@@ -106,7 +112,8 @@
                 target,
                 at,
                 handover,
-            } if at <= now => {
+                released,
+            } if at <= now && (released || self.is_alone(now)) => {
                 span.past = None;
                 if !world.is_usable(service, &target) {
                     span.holder = None;
@@ -162,6 +169,11 @@
             .find(&holder.server)
             .and_then(|standing| standing.entry.born);
         if born.is_some() && holder.born.is_some() && born != holder.born {
+            if holder.call.is_some() {
+                // The call may reach the new life, so its end is awaited.
+                span.holder = Some(holder);
+                return vec![span];
+            }
             let server = holder.server.clone();
             self.log(Code::ServerRestarted, &server, "its keys are granted anew");
             // Orders that were meant for the earlier life may have reached this one.
@@ -336,7 +348,9 @@
             .usable(service)
             .iter()
             .map(|standing| {
-                let mean = standing.load.mean(now).as_secs_f64().max(0.001);
+                let usual = world.usual.get(service).copied().unwrap_or(FIRST_MEAN);
+                let mean = standing.load.mean(now, usual).as_secs_f64();
+                let mean = mean.clamp(usual.as_secs_f64() * 0.5, usual.as_secs_f64() * 2.0);
                 ServerHeat {
                     id: standing.entry.id.clone(),
                     rate: 0.0,
@@ -360,49 +374,79 @@
 
     pub(super) fn balance(&mut self, now: Time, world: World<'_>, service: &Arc<str>) {
         let spans = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        if spans.iter().filter(|span| span.is_moving()).count() >= BALANCE_MOVES {
+        if spans.iter().filter(|span| span.is_moving()).count() >= BUSY_MOVES {
             return;
         }
         if let Some(heat) = self.heat.get_mut(service) {
             heat.fade(now);
         }
         let heats = self.heats(now, world, service);
-        if let Some(newcomer) = heats.iter().find(|heat| heat.takes && heat.keys == 0) {
-            let target = newcomer.id.clone();
-            let widest = (0..spans.len())
-                .filter(|index| !spans[*index].is_moving())
-                .max_by_key(|index| spans[*index].width());
-            let Some(index) = widest.filter(|index| spans[*index].width() > 1) else {
-                return;
-            };
-            let span = &spans[index];
-            let middle = span.from + ((span.width() / 2) as u16);
-            let to = span.to;
-            self.move_part(service, index, middle, to, target);
-            return;
+        let newcomers = heats.iter().filter(|heat| heat.takes && heat.keys == 0);
+        let newcomers: Vec<Arc<str>> = newcomers.map(|heat| heat.id.clone()).collect();
+        for target in newcomers {
+            self.welcome(service, target);
         }
-        let Some(candidate) = Candidate::find(&heats) else {
-            return;
-        };
-        let Some(heat) = self.heat.get(service) else {
+        self.spread(service, heats);
+    }
+
+    /// Gives half of the widest span to a server that has no keys.
+    fn welcome(&mut self, service: &Arc<str>, target: Arc<str>) {
+        let spans = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let widest = (0..spans.len())
+            .filter(|index| spans[*index].is_settled() && spans[*index].width() > 1)
+            .max_by_key(|index| spans[*index].width());
+        let Some(index) = widest else {
             return;
         };
-        let source = |index: &usize| {
-            let span: &Span = &spans[*index];
-            !span.is_moving() && span.target() == Some(&candidate.source)
-        };
+        let span = &spans[index];
+        let middle = span.from + ((span.width() / 2) as u16);
+        let to = span.to;
+        self.move_part(service, index, middle, to, target);
+    }
+
+    /// Moves keys from busy servers to others until none is much busier, as far as that goes at once.
+    fn spread(&mut self, service: &Arc<str>, mut heats: Vec<ServerHeat>) {
+        let mut stuck = Vec::new();
+        for _ in 0..BALANCE_MOVES {
+            let Some(candidate) = Candidate::find(&heats, &stuck) else {
+                return;
+            };
+            let Some((index, from, to, rate)) = self.part_to_move(service, &heats, &candidate)
+            else {
+                stuck.push(candidate.source);
+                continue;
+            };
+            heats[candidate.source].rate -= rate;
+            heats[candidate.target].rate += rate;
+            let target = heats[candidate.target].id.clone();
+            self.move_part(service, index, from, to, target);
+        }
+    }
+
+    /// The span, the keys of it and their rate that a candidate should move.
+    fn part_to_move(
+        &self,
+        service: &Arc<str>,
+        heats: &[ServerHeat],
+        candidate: &Candidate,
+    ) -> Option<(usize, u16, u16, f64)> {
+        let spans = self.services.get(service)?;
+        let heat = self.heat.get(service)?;
+        let source = &heats[candidate.source].id;
         let rate = |index: &usize| heat.rate(spans[*index].from, spans[*index].to);
-        let hottest = (0..spans.len())
-            .filter(source)
-            .max_by(|a, b| rate(a).total_cmp(&rate(b)));
-        let Some(index) = hottest else { return };
-        let wanted = candidate.rate.min(rate(&index) * 0.9);
-        let Some((from, to)) = heat.hottest(spans[index].from, spans[index].to, wanted) else {
-            return;
-        };
-        if candidate.gains(heat.rate(from, to)) {
-            self.move_part(service, index, from, to, candidate.target);
+        let index = (0..spans.len())
+            .filter(|index| spans[*index].is_settled() && spans[*index].target() == Some(source))
+            .max_by(|a, b| rate(a).total_cmp(&rate(b)))?;
+        let mut wanted = candidate.rate.min(rate(&index));
+        for _ in 0..PART_TRIES {
+            let (from, to) = heat.hottest(spans[index].from, spans[index].to, wanted)?;
+            let rate = heat.rate(from, to);
+            if candidate.gains(heats, rate) {
+                return Some((index, from, to, rate));
+            }
+            wanted /= 2.0;
         }
+        None
     }
 
     fn move_part(
@@ -417,13 +461,6 @@
         let Some(spans) = self.services.get_mut(service) else {
             return;
         };
-        if spans[index]
-            .holder
-            .as_ref()
-            .is_some_and(|holder| holder.call.is_some())
-        {
-            return;
-        }
         let span = spans.remove(index);
         let mut parts = span.cut(from, to);
         for part in &mut parts {
--- a/crates/core/src/front/granter/order.rs
+++ b/crates/core/src/front/granter/order.rs
@@ -1,6 +1,6 @@
 //! What a granter looks at, orders and is told.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +40,8 @@
     pub servers: &'a Servers,
     /// The configuration.
     pub config: &'a Config,
+    /// The usual time of work of each service.
+    pub usual: &'a BTreeMap<Arc<str>, Duration>,
     /// Failure domains that operators have taken out.
     pub evacuated: &'a BTreeSet<String>,
 }
--- a/crates/core/src/front/granter/span.rs
+++ b/crates/core/src/front/granter/span.rs
@@ -88,6 +88,8 @@
         target: Arc<str>,
         at: Time,
         handover: Option<String>,
+        /// Whether nobody holds the keys after that time, whoever else may grant.
+        released: bool,
     },
 }
 
@@ -98,6 +100,7 @@
             target,
             at,
             handover: None,
+            released: false,
         }
     }
 }
@@ -129,6 +132,15 @@
         }
     }
 
+    /// Whether it stays where it is and no order for it is under way.
+    pub(super) fn is_settled(&self) -> bool {
+        let waits = self
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.call.is_some());
+        !self.is_moving() && !waits
+    }
+
     pub(super) fn is_moving(&self) -> bool {
         !matches!(self.stage, Stage::Held)
     }
--- a/crates/core/src/front/load.rs
+++ b/crates/core/src/front/load.rs
@@ -12,8 +12,8 @@
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
 /// Time without an answer after which half of a server's slowness is forgotten.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Mean time of work before the first answer.
-const FIRST_MEAN: Duration = Duration::from_millis(120);
+/// Mean time of work of a service before its first answer.
+pub(super) const FIRST_MEAN: Duration = Duration::from_millis(120);
 
 /// What a server told of its load beside an answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -61,9 +61,9 @@
     }
 
     /// Takes in how long an answer took.
-    pub fn answered(&mut self, now: Time, took: Duration) {
+    pub fn answered(&mut self, now: Time, took: Duration, usual: Duration) {
         let micros = took.as_micros() as f64;
-        let known = self.mean(now).as_micros() as f64;
+        let known = self.mean(now, usual).as_micros() as f64;
         self.mean_micros = known + (micros - known) * MEAN_WEIGHT;
         self.answered = now;
     }
@@ -84,22 +84,22 @@
         oldest.map_or(Duration::ZERO, |at| now.since(*at))
     }
 
-    /// The mean time of work; slowness fades while nothing is heard.
-    pub fn mean(&self, now: Time) -> Duration {
+    /// The mean time of work, where `usual` is that of the service: what is known of this server
+    /// fades while nothing is heard of it.
+    pub fn mean(&self, now: Time, usual: Duration) -> Duration {
         if self.answered == Time::ZERO {
-            return FIRST_MEAN;
+            return usual;
         }
-        let usual = FIRST_MEAN.as_micros() as f64;
-        let faded = fade(now.since(self.answered), SLOWNESS_HALF_LIFE);
-        let over = (self.mean_micros - usual).max(0.0) * faded;
-        Duration::from_micros((self.mean_micros.min(usual) + over) as u64)
+        let usual = usual.as_micros() as f64;
+        let known = fade(now.since(self.answered), SLOWNESS_HALF_LIFE);
+        Duration::from_micros((usual + (self.mean_micros - usual) * known).max(0.0) as u64)
     }
 
     /// How long a request sent now would take at a server with so many slots.
-    pub fn expected(&self, now: Time, slots: u32) -> Duration {
+    pub fn expected(&self, now: Time, slots: u32, usual: Duration) -> Duration {
         let slots = f64::from(slots.max(1));
         let rounds = 1.0 + ((self.total(now) + 1.0 - slots) / slots).max(0.0);
-        self.mean(now).mul_f64(rounds)
+        self.mean(now, usual).mul_f64(rounds)
     }
 
     fn others_at(&self, now: Time) -> f64 {
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::config::{Config, Route, Service};
-use super::load::LoadReport;
+use super::load::{FIRST_MEAN, LoadReport};
 use super::placement::Table;
 use super::retries::RetryShare;
 use super::servers::{ServerEntry, Servers, Standing};
@@ -32,6 +32,8 @@
 const KEY_RETURN: Duration = Duration::from_millis(250);
 /// Time for which a server that was seen to be gone in a store outage may yet be back.
 const RETURN_GRACE: Duration = Duration::from_millis(1_900);
+/// Weight of the newest answer in the usual time of work of its service.
+const USUAL_WEIGHT: f64 = 0.03;
 /// Hosts that are taken to share a bound before any is known.
 const UNKNOWN_HOSTS: usize = 12;
 
@@ -157,6 +159,7 @@
     splits: Splits,
     retries: RetryShare,
     heat: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
+    usual: BTreeMap<Arc<str>, Duration>,
     log: Vec<Record>,
 }
 
@@ -177,6 +180,7 @@
             splits: Splits::default(),
             retries,
             heat: BTreeMap::new(),
+            usual: BTreeMap::new(),
             log: Vec::new(),
         }
     }
@@ -407,10 +411,11 @@
             _ if plan.keyed => return Err(Refused::new(RefusalCause::NoOwner, KEY_RETURN)),
             _ => self.cheapest(now, plan, avoided)?,
         };
+        let usual = self.usual(&plan.service);
         let Some(standing) = self.servers.get_mut(chosen) else {
             return Err(Refused::new(RefusalCause::NoServer, LONGEST_RETURN));
         };
-        let expected = standing.load.expected(now, standing.entry.slots);
+        let expected = standing.load.expected(now, standing.entry.slots, usual);
         let waits = standing.load.total(now) >= f64::from(standing.entry.slots);
         if waits && expected > left {
             return Err(Refused {
@@ -489,6 +494,7 @@
             service.warm_rate * self.settings.warm_factor + self.settings.warm_slack - 1.0
         });
         let hosts = self.hosts;
+        let usual = self.usual(&plan.service);
         let Some(standing) = self.servers.get_mut(server) else {
             return Err(Refused::new(RefusalCause::NoServer, LONGEST_RETURN));
         };
@@ -498,7 +504,7 @@
         let slots = f64::from(standing.entry.slots);
         let queue = URGENT_QUEUE - RANK_STEP * f64::from(plan.route.priority);
         if standing.load.total(now) + 1.0 > slots + queue.max(LEAST_QUEUE) {
-            let expected = standing.load.expected(now, standing.entry.slots);
+            let expected = standing.load.expected(now, standing.entry.slots, usual);
             return Err(Refused::new(RefusalCause::Busy, expected / 2));
         }
         Ok(())
@@ -540,10 +546,21 @@
         } else {
             REGION_PENALTY
         };
-        let expected = standing.load.expected(now, entry.slots);
+        let expected = standing
+            .load
+            .expected(now, entry.slots, self.usual(&entry.service));
         expected.max(standing.load.oldest(now) / 2) + penalty
     }
 
+    /// The usual time of work of each service, as this host has seen it.
+    pub fn usual_times(&self) -> &BTreeMap<Arc<str>, Duration> {
+        &self.usual
+    }
+
+    fn usual(&self, service: &str) -> Duration {
+        self.usual.get(service).copied().unwrap_or(FIRST_MEAN)
+    }
+
     fn service(&self, name: &str) -> Option<Service> {
         self.config.as_ref()?.services.get(name).cloned()
     }
@@ -556,6 +573,7 @@
         ending: Ending,
         report: Option<LoadReport>,
     ) {
+        let usual = self.usual(&target.entry.service);
         let Some(standing) = self.servers.get_mut(target.server) else {
             return;
         };
@@ -573,7 +591,9 @@
         let keyed = service.is_some_and(|service| service.keyed);
         match ending {
             Ending::Answered { success } => {
-                standing.load.answered(now, took);
+                standing.load.answered(now, took, usual);
+                let mean = usual.mul_f64(1.0 - USUAL_WEIGHT) + took.mul_f64(USUAL_WEIGHT);
+                self.usual.insert(target.entry.service.clone(), mean);
                 if success {
                     standing.succeeded();
                 } else if standing.failed(now) {
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -693,6 +693,7 @@
         let now = self.time();
         if echoes * 2 > self.entries.len() {
             self.entries[host].granter.as_mut().unwrap().confirm(now);
+            self.entries[host].granter.as_mut().unwrap().follow(now);
         }
         if self.reaches_store(host) {
             let current = self
@@ -782,12 +783,14 @@
         let now = self.time();
         let config = config(1, Vec::new());
         let evacuated = BTreeSet::new();
+        let usual = BTreeMap::new();
         let entry = &mut self.entries[host];
         let Some(granter) = &mut entry.granter else {
             return;
         };
         let world = World {
             servers: &entry.servers,
+            usual: &usual,
             config: &config,
             evacuated: &evacuated,
         };
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -62,6 +62,7 @@
     orders: OrderClient,
     revision: Mutex<u64>,
     ended: AtomicBool,
+    started: Time,
 }
 
 struct Follower {
@@ -167,7 +168,7 @@
         let record = match read_record(&front).await {
             Ok(record) => record,
             Err(error) => {
-                log::warn!("the record of grants cannot be read: {error:?}");
+                log::warn!("the record of grants cannot be read: {error}");
                 task::sleep(STORE_PAUSE).await;
                 continue;
             }
@@ -232,7 +233,7 @@
         let objects = match list(front, platform::HOSTS).await {
             Ok((objects, _)) => objects,
             Err(error) => {
-                log::warn!("the list of hosts cannot be read: {error:?}");
+                log::warn!("the list of hosts cannot be read: {error}");
                 task::sleep(STORE_PAUSE).await;
                 continue;
             }
@@ -253,7 +254,7 @@
         match front.store.call("POST", &path, &body, Duration::ZERO).await {
             Ok(_) => return hosts,
             Err(error) => {
-                log::warn!("the host cannot be put on the list: {error:?}");
+                log::warn!("the host cannot be put on the list: {error}");
                 task::sleep(STORE_PAUSE).await;
             }
         }
@@ -297,7 +298,7 @@
         Ok(reply) if reply.status < 300 => Some(platform::read_object(&reply.body).ok()?.revision),
         Ok(_) => None,
         Err(error) => {
-            log::warn!("the record of grants cannot be created: {error:?}");
+            log::warn!("the record of grants cannot be created: {error}");
             task::sleep(STORE_PAUSE).await;
             None
         }
@@ -340,7 +341,7 @@
     front.counters.store_calls.add();
     let reply = match front.store.call("PUT", &path, &body, Duration::ZERO).await {
         Ok(reply) => reply,
-        Err(error) => return Written::Failed(format!("{error:?}")),
+        Err(error) => return Written::Failed(format!("{error}")),
     };
     match parse_record(&reply.body) {
         // A conflict with this very record tells of an earlier call whose answer was lost.
@@ -388,6 +389,7 @@
         orders: OrderClient::default(),
         revision: Mutex::new(revision),
         ended: AtomicBool::new(false),
+        started,
     });
     front.set_leading(Some(leading.clone()));
     let mut beaten = Time::ZERO;
@@ -425,7 +427,11 @@
     let hosts = front.route(|router, _| router.hosts());
     let echo = leading.majority_echo(hosts);
     if let Some(echo) = echo {
-        lock(&leading.granter).confirm(echo);
+        let mut granter = lock(&leading.granter);
+        granter.confirm(echo);
+        if echo > leading.started {
+            granter.follow(now);
+        }
     }
     let fresh = echo.is_some_and(|echo| now.since(echo) < CONFIRM_AGE);
     if fresh || now.since(*asked) < CONFIRM_PAUSE {
@@ -452,6 +458,7 @@
         let config = router.config().cloned().unwrap_or_default();
         let world = World {
             servers: router.servers(),
+            usual: router.usual_times(),
             config: &config,
             evacuated: router.evacuated(),
         };
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -1,5 +1,6 @@
 //! Calls to the platform's store.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -35,6 +36,17 @@
     Unknown(String),
 }
 
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotDone(text) => write!(f, "not done: {text}"),
+            Self::Unknown(text) => write!(f, "no useful answer: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
 /// An answer of the store.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreReply {
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -53,7 +53,7 @@
                 task::sleep(FAILURE_PAUSE).await;
                 outage = front.store.outage().unwrap_or(before);
                 if outage >= LAPSE && before < LAPSE {
-                    front.log(Code::StoreSilent, kind, format!("{error:?}"));
+                    front.log(Code::StoreSilent, kind, format!("{error}"));
                 }
                 if outage >= LAPSE {
                     front.route(|router, now| router.store_is_back(now));
