--- a/crates/core/src/front/balance.rs
+++ b/crates/core/src/front/balance.rs
@@ -13,7 +13,7 @@
 /// Utilization above which a server gives keys away.
 const BUSY: f64 = 0.7;
 /// Difference of utilization that is worth a move.
-const GAP: f64 = 0.3;
+const GAP: f64 = 0.2;
 /// Utilization by which the busier of two servers has to gain for a move to be made.
 const GAIN: f64 = 0.1;
 
@@ -107,7 +107,7 @@
 pub struct Candidate {
     /// The index of the server that gives keys away.
     pub source: usize,
-    /// The index of the server that gets them.
+    /// The index of the least busy server.
     pub target: usize,
     /// Requests a second that should move.
     pub rate: f64,
@@ -150,12 +150,19 @@
         })
     }
 
-    /// Whether moving so many requests a second leaves the busier server less busy than now.
+    /// The server that would be least busy with so many more requests a second, if it would be
+    /// less busy than the source is now.
     ///
     /// A single key that is too much for one server only changes places otherwise, for ever.
-    pub fn gains(&self, servers: &[ServerHeat], moved: f64) -> bool {
-        let taker = &servers[self.target];
-        let after = (taker.rate + moved) / taker.capacity.max(0.1);
-        after + GAIN <= servers[self.source].utilization()
+    pub fn best_target(&self, servers: &[ServerHeat], moved: f64) -> Option<usize> {
+        let after = |index: &usize| {
+            let taker = &servers[*index];
+            (taker.rate + moved) / taker.capacity.max(0.1)
+        };
+        let takers = (0..servers.len()).filter(|index| servers[*index].takes);
+        let best = takers
+            .filter(|index| *index != self.source)
+            .min_by(|a, b| after(a).total_cmp(&after(b)))?;
+        (after(&best) + GAIN <= servers[self.source].utilization()).then_some(best)
     }
 }
--- a/crates/core/src/front/granter/moves.rs
+++ b/crates/core/src/front/granter/moves.rs
@@ -25,9 +25,22 @@
 const RELEASE_TRIES: u32 = 2;
 /// Grants without an answer after which a server whose hold has run out is lost.
 const LOST_GRANTS: u32 = 2;
+/// How far a server's time of work is taken to lie from the usual one, as factors.
+const WORK_RANGE: (f64, f64) = (0.5, 2.0);
+/// Requests a second for which moving the neighbours of a hot key is worth it.
+const NEIGHBOURS: f64 = 0.5;
 /// Part of its slots that a server is taken to keep busy when its rate is worked out.
 const EFFICIENCY: f64 = 0.9;
 
+/// Keys of one span that should move.
+struct Part {
+    index: usize,
+    from: u16,
+    to: u16,
+    rate: f64,
+    target: usize,
+}
+
 impl Granter {
     /// Gives every key of a service that is new to it a first server.
     pub(super) fn place(&mut self, now: Time, world: World<'_>) {
@@ -349,8 +362,11 @@
             .iter()
             .map(|standing| {
                 let usual = world.usual.get(service).copied().unwrap_or(FIRST_MEAN);
-                let mean = standing.load.mean(now, usual).as_secs_f64();
-                let mean = mean.clamp(usual.as_secs_f64() * 0.5, usual.as_secs_f64() * 2.0);
+                let work = standing.load.mean(now, usual).as_secs_f64();
+                let usual = usual.as_secs_f64();
+                let mean = work
+                    .clamp(usual * WORK_RANGE.0, usual * WORK_RANGE.1)
+                    .max(0.001);
                 ServerHeat {
                     id: standing.entry.id.clone(),
                     rate: 0.0,
@@ -411,25 +427,24 @@
             let Some(candidate) = Candidate::find(&heats, &stuck) else {
                 return;
             };
-            let Some((index, from, to, rate)) = self.part_to_move(service, &heats, &candidate)
-            else {
+            let Some(part) = self.part_to_move(service, &heats, &candidate) else {
                 stuck.push(candidate.source);
                 continue;
             };
-            heats[candidate.source].rate -= rate;
-            heats[candidate.target].rate += rate;
-            let target = heats[candidate.target].id.clone();
-            self.move_part(service, index, from, to, target);
+            heats[candidate.source].rate -= part.rate;
+            heats[part.target].rate += part.rate;
+            let target = heats[part.target].id.clone();
+            self.move_part(service, part.index, part.from, part.to, target);
         }
     }
 
-    /// The span, the keys of it and their rate that a candidate should move.
+    /// What a candidate should move, and where to.
     fn part_to_move(
         &self,
         service: &Arc<str>,
         heats: &[ServerHeat],
         candidate: &Candidate,
-    ) -> Option<(usize, u16, u16, f64)> {
+    ) -> Option<Part> {
         let spans = self.services.get(service)?;
         let heat = self.heat.get(service)?;
         let source = &heats[candidate.source].id;
@@ -437,16 +452,34 @@
         let index = (0..spans.len())
             .filter(|index| spans[*index].is_settled() && spans[*index].target() == Some(source))
             .max_by(|a, b| rate(a).total_cmp(&rate(b)))?;
+        let (first, last) = (spans[index].from, spans[index].to);
+        let part = |from: u16, to: u16| {
+            let rate = heat.rate(from, to);
+            let target = candidate.best_target(heats, rate)?;
+            Some(Part {
+                index,
+                from,
+                to,
+                rate,
+                target,
+            })
+        };
         let mut wanted = candidate.rate.min(rate(&index));
+        let mut hottest = (first, last);
         for _ in 0..PART_TRIES {
-            let (from, to) = heat.hottest(spans[index].from, spans[index].to, wanted)?;
-            let rate = heat.rate(from, to);
-            if candidate.gains(heats, rate) {
-                return Some((index, from, to, rate));
+            hottest = heat.hottest(first, last, wanted)?;
+            if let Some(part) = part(hottest.0, hottest.1) {
+                return Some(part);
             }
             wanted /= 2.0;
         }
-        None
+        // One key is too much for any other server: its neighbours leave instead.
+        let left = (hottest.0 > first).then(|| (first, hottest.0 - 1));
+        let right = (hottest.1 < last).then(|| (hottest.1 + 1, last));
+        let sides = [left, right].into_iter().flatten();
+        let busiest = sides.max_by(|a, b| heat.rate(a.0, a.1).total_cmp(&heat.rate(b.0, b.1)))?;
+        let part = part(busiest.0, busiest.1)?;
+        (part.rate >= NEIGHBOURS).then_some(part)
     }
 
     fn move_part(
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -124,7 +124,8 @@
         host: usize,
         order: Order,
         sent: u64,
-        late: bool,
+        /// The life of the server that got the order and carries it out late.
+        late: Option<u64>,
     },
     Answer {
         host: usize,
@@ -502,7 +503,7 @@
         }
     }
 
-    fn take_order(&mut self, host: usize, order: Order, sent: u64, late: bool) {
+    fn take_order(&mut self, host: usize, order: Order, sent: u64, late: Option<u64>) {
         let (call, id, fence) = match &order {
             Order::Grant {
                 call,
@@ -521,7 +522,7 @@
         let term = fence >> 24;
         let waits = self.open.contains_key(&(host, term, call.0));
         // An aborted connection takes what it carried along; work begun late goes on.
-        if !waits && !late {
+        if !waits && late.is_none() {
             return;
         }
         let index = self
@@ -529,17 +530,20 @@
             .iter()
             .position(|backend| backend.id == id)
             .unwrap();
+        if late.is_some_and(|born| born != self.backends[index].born) {
+            return;
+        }
         if !self.backends[index].up || self.cut_servers.contains(&(host, index)) {
             return;
         }
-        if !late && self.late && self.rng.random_bool(0.2) {
+        if late.is_none() && self.late && self.rng.random_bool(0.2) {
             let after = self.rng.random_range(2_000..12_000);
             let arrival = self.now;
             let born = self.backends[index].born;
             self.hold_late(order, born, arrival, after);
             return;
         }
-        let arrival = if late { sent } else { self.now };
+        let arrival = if late.is_some() { sent } else { self.now };
         let reply = self.carry_out(index, &order, arrival);
         if waits && !self.loses(0.04) {
             let after = self.rng.random_range(1..60);
@@ -558,14 +562,13 @@
     /// Keeps an order that is carried out long after its arrival, from when its time counts.
     fn hold_late(&mut self, order: Order, born: u64, arrival: u64, after: u64) {
         let host = usize::MAX;
-        let _ = born;
         self.push(
             after,
             Delivery::Order {
                 host,
                 order,
                 sent: arrival,
-                late: true,
+                late: Some(born),
             },
         );
     }
@@ -816,7 +819,7 @@
                         host,
                         order,
                         sent,
-                        late: false,
+                        late: None,
                     },
                 );
             }
