--- /dev/null
+++ b/crates/core/tests/front/bounds.rs
@@ -0,0 +1,82 @@
+//! Bounds that all hosts keep together without a word between them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthshunt_core::Time;
+use amaranthshunt_core::front::{ColdShare, RetryShare};
+use yare::parameterized;
+
+#[parameterized(
+    few_hosts = { 3 },
+    many_hosts = { 12 },
+    all_at_one_host = { 1 },
+)]
+fn repeats_of_all_hosts_keep_the_budget(hosts: usize) {
+    let service: Arc<str> = Arc::from("orders");
+    let mut shares: Vec<RetryShare> = (0..hosts)
+        .map(|_| RetryShare::new(0.2, 60.0, hosts))
+        .collect();
+    let requests = 2_000;
+
+    // Every request fails and is tried again as often as its host allows.
+    let mut repeats = 0;
+    for number in 0..requests {
+        let share = &mut shares[number % hosts];
+        share.earn(&service);
+        while share.spend(&service) {
+            repeats += 1;
+        }
+    }
+
+    let bound = 0.2 * requests as f64 + 60.0;
+    assert!(f64::from(repeats) <= bound, "{repeats} of {bound}");
+    assert!(repeats > 200, "the budget is not used: {repeats}");
+}
+
+#[parameterized(
+    nine_hosts = { 9, 18.8 },
+    fifteen_hosts = { 15, 18.8 },
+    two_hosts = { 2, 29.5 },
+)]
+fn no_second_has_more_cold_requests_than_the_bound(hosts: usize, bound: f64) {
+    let mut shares = vec![ColdShare::default(); hosts];
+    let mut sent: Vec<u64> = Vec::new();
+
+    // Every host tries all the time, for ten seconds.
+    for millis in (0..10_000).step_by(7) {
+        let now = Time::from_millis(1_000 + millis);
+        for share in &mut shares {
+            if share.admits(now, bound, hosts) {
+                share.spend(now);
+                sent.push(millis);
+            }
+        }
+    }
+
+    let most = sent.iter().map(|start| {
+        sent.iter()
+            .filter(|at| **at >= *start && **at < start + 1_000)
+            .count()
+    });
+    let most = most.max().unwrap_or_default();
+    assert!(most as f64 <= bound, "{most} of {bound}");
+    assert!(sent.len() > 50, "the bound is not used: {}", sent.len());
+}
+
+#[test]
+fn hosts_that_share_less_than_one_request_a_second_send_rarely() {
+    let mut share = ColdShare::default();
+    let mut sent = 0;
+
+    for millis in (0..60_000).step_by(10) {
+        let now = Time::from_millis(1_000 + millis);
+        if share.admits(now, 14.5, 61) {
+            share.spend(now);
+            sent += 1;
+        }
+    }
+
+    let rate = f64::from(sent) / Duration::from_secs(60).as_secs_f64() * 61.0;
+    assert!(rate < 14.5 / 2.0, "{rate} requests a second over all hosts");
+}
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{Config, Limits, Part, Route, ServerEntry, Service};
+use amaranthshunt_core::front::{
+    Config, Limits, Part, Route, Router, RouterSettings, ServerEntry, Service,
+};
 
 /// The service whose servers hold keys.
 pub(crate) const KEYED: &str = "catalogue";
@@ -64,3 +66,19 @@
     ]);
     Config::new(version, routes, services, Limits::default())
 }
+
+/// A router of the host `h1` in `east-a` that knows nothing yet.
+pub(crate) fn router() -> Router {
+    let regions = [("east-a", "east"), ("east-b", "east"), ("west-a", "west")];
+    Router::new(RouterSettings {
+        name: "h1".to_owned(),
+        domain: "east-a".to_owned(),
+        regions: regions
+            .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
+            .into(),
+        retry_ratio: 0.2,
+        retry_slack: 60.0,
+        warm_factor: 1.5,
+        warm_slack: 5.0,
+    })
+}
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -1,5 +1,9 @@
 //! Tests of the router and the granter for hosts that send straight to servers.
 
+mod balance;
+mod bounds;
 mod fixture;
 mod grants;
+mod routes;
+mod servers;
 mod sim;
--- /dev/null
+++ b/crates/core/tests/front/routes.rs
@@ -0,0 +1,108 @@
+//! Routes, splits and configurations.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthshunt_core::Time;
+use amaranthshunt_core::front::{Part, RefusalCause, Splits};
+use yare::parameterized;
+
+use crate::fixture::{config, route, router, server};
+
+const NOW: Time = Time::from_millis(10_000);
+
+#[parameterized(
+    longest_prefix = { "shop", "/a/b/c", Some("deep") },
+    shorter_prefix = { "shop", "/a/c", Some("wide") },
+    query_does_not_count = { "shop", "/a/x?y=/a/b/", Some("wide") },
+    port_does_not_count = { "shop:8080", "/a/b/", Some("deep") },
+    case_of_host_does_not_count = { "SHOP", "/a/b/", Some("deep") },
+    prefix_without_its_slash = { "shop", "/a", None },
+    other_host = { "shops", "/a/b/", None },
+)]
+fn a_request_goes_by_host_and_longest_prefix(host: &str, target: &str, name: Option<&str>) {
+    let config = config(
+        1,
+        vec![
+            route("wide", "/a/", "orders"),
+            route("deep", "/a/b/", "orders"),
+        ],
+    );
+
+    let found = config.route(host, target).map(|route| route.name.clone());
+
+    assert_eq!(found.as_deref(), name);
+}
+
+#[test]
+fn a_split_keeps_its_weights_within_few_requests() {
+    let mut split = route("r", "/", "orders");
+    split.parts = [("a", 70), ("b", 20), ("c", 10)]
+        .map(|(name, weight)| Part {
+            service: Arc::from(name),
+            weight,
+        })
+        .to_vec();
+    let mut splits = Splits::default();
+    let mut counts: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+
+    for _ in 0..50 {
+        *counts.entry(splits.next(&split).unwrap()).or_default() += 1;
+    }
+
+    assert_eq!(counts.into_values().collect::<Vec<u32>>(), [35, 10, 5]);
+}
+
+#[test]
+fn a_split_without_weight_names_no_service() {
+    let mut split = route("r", "/", "orders");
+    split.parts = ["a", "b"]
+        .map(|name| Part {
+            service: Arc::from(name),
+            weight: 0,
+        })
+        .to_vec();
+
+    assert_eq!(Splits::default().next(&split), None);
+}
+
+#[test]
+fn an_older_configuration_does_not_replace_a_newer_one() {
+    let mut router = router();
+    router.set_config(Arc::new(config(7, vec![route("new", "/", "orders")])));
+
+    let replaced = router.set_config(Arc::new(config(5, vec![route("old", "/", "orders")])));
+
+    assert!(!replaced);
+    assert_eq!(router.plan("shop", "/x").unwrap().route.name, "new");
+}
+
+#[test]
+fn a_host_without_a_configuration_tells_callers_to_come_back() {
+    let refused = router().plan("shop", "/x").unwrap_err();
+
+    assert_eq!(refused.cause, RefusalCause::NoConfig);
+    assert!(refused.retry_after.is_some());
+}
+
+#[test]
+fn a_request_with_homes_is_never_sent_elsewhere() {
+    let mut router = router();
+    let mut home = route("r", "/", "orders");
+    home.homes = vec!["east".to_owned()];
+    router.set_config(Arc::new(config(1, vec![home])));
+    router.replace_servers(NOW, vec![server("w1", "orders", "west-a", 1)]);
+    let plan = router.plan("shop", "/x").unwrap();
+
+    let refused = router
+        .pick(NOW, &plan, None, &[], 0, Duration::from_secs(1))
+        .unwrap_err();
+    assert_eq!(refused.cause, RefusalCause::NoServer);
+
+    router.learn_server(NOW, server("e1", "orders", "east-a", 1));
+    let target = router
+        .pick(NOW, &plan, None, &[], 0, Duration::from_secs(1))
+        .unwrap();
+    assert_eq!(&*target.entry.id, "e1");
+}
--- /dev/null
+++ b/crates/core/tests/front/servers.rs
@@ -0,0 +1,264 @@
+//! Which servers get requests.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranthshunt_core::Time;
+use amaranthshunt_core::front::{
+    Ending, LoadReport, Plan, RefusalCause, Refused, Router, ServerEntry, Table, TableSpan, Target,
+};
+
+use crate::fixture::{KEYED, config, route, router, server};
+
+const LEFT: Duration = Duration::from_secs(2);
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(100_000 + millis)
+}
+
+/// A router with a route to each service and the given servers, long since started.
+fn started(entries: Vec<ServerEntry>) -> Router {
+    let mut router = router();
+    router.set_config(Arc::new(config(
+        1,
+        vec![
+            route("plain", "/o/", "orders"),
+            route("keyed", "/k/", KEYED),
+        ],
+    )));
+    router.set_hosts(1);
+    router.replace_servers(at(0), entries);
+    router
+}
+
+fn send(router: &mut Router, now: Time, plan: &Plan, key: Option<u16>) -> Result<Target, Refused> {
+    router.pick(now, plan, key, &[], 0, LEFT)
+}
+
+#[test]
+fn the_own_failure_domain_goes_first_while_it_has_room() {
+    let mut router = started(vec![
+        server("far", "orders", "east-b", 1),
+        server("near", "orders", "east-a", 1),
+    ]);
+    let plan = router.plan("shop", "/o/").unwrap();
+
+    let chosen: Vec<String> = (0..8)
+        .map(|_| {
+            send(&mut router, at(0), &plan, None)
+                .unwrap()
+                .entry
+                .id
+                .to_string()
+        })
+        .collect();
+
+    assert_eq!(chosen[..4], ["near"; 4]);
+    assert!(
+        chosen.contains(&"far".to_owned()),
+        "an overfull server still gets all: {chosen:?}"
+    );
+}
+
+#[test]
+fn a_full_server_is_not_overfilled_and_says_when_to_come_back() {
+    let mut router = started(vec![server("a", "orders", "east-a", 1)]);
+    let plan = router.plan("shop", "/o/").unwrap();
+
+    let sent = (0..50)
+        .filter(|_| send(&mut router, at(0), &plan, None).is_ok())
+        .count();
+    let refused = send(&mut router, at(0), &plan, None).unwrap_err();
+
+    assert_eq!(
+        sent, 6,
+        "four slots, and a queue of two for the second rank"
+    );
+    assert_eq!(refused.cause, RefusalCause::Busy);
+    assert!(refused.retry_after.is_some());
+}
+
+#[test]
+fn what_others_have_running_counts() {
+    let mut router = started(vec![server("a", "orders", "east-a", 1)]);
+    let plan = router.plan("shop", "/o/").unwrap();
+    let report = LoadReport {
+        running: 4,
+        waiting: 12,
+        slots: 4,
+        slowness: None,
+    };
+    for _ in 0..6 {
+        let target = send(&mut router, at(0), &plan, None);
+        let Ok(target) = target else { break };
+        router.ended(
+            at(50),
+            &target,
+            Ending::Answered { success: true },
+            Some(report),
+        );
+    }
+
+    let refused = send(&mut router, at(60), &plan, None).unwrap_err();
+
+    assert_eq!(refused.cause, RefusalCause::Busy);
+}
+
+#[test]
+fn a_draining_a_gone_and_an_evacuated_server_get_nothing() {
+    let mut draining = server("a", "orders", "east-a", 1);
+    draining.draining = true;
+    let mut router = started(vec![
+        server("a", "orders", "east-a", 1),
+        server("b", "orders", "east-b", 1),
+        server("c", "orders", "west-a", 1),
+    ]);
+    let plan = router.plan("shop", "/o/").unwrap();
+
+    router.learn_server(at(10), draining);
+    router.lose_server(at(10), "b");
+    router.set_evacuated(at(10), BTreeSet::from(["west-a".to_owned()]));
+    let refused = send(&mut router, at(10), &plan, None).unwrap_err();
+
+    assert_eq!(refused.cause, RefusalCause::NoServer);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_gets_two_seconds_to_come_back() {
+    let mut router = started(vec![server("a", "orders", "east-a", 1)]);
+    let plan = router.plan("shop", "/o/").unwrap();
+    router.store_is_back(at(1_000));
+    router.lose_server(at(1_100), "a");
+
+    router.tick(at(2_000));
+    assert!(
+        router.servers().find("a").is_some(),
+        "it is forgotten before it can be back"
+    );
+    assert!(
+        send(&mut router, at(2_000), &plan, None).is_err(),
+        "it gets requests while it is missing"
+    );
+
+    router.tick(at(3_000));
+    assert!(
+        router.servers().find("a").is_none(),
+        "it is still there after its time"
+    );
+}
+
+#[test]
+fn an_entry_of_an_earlier_life_changes_nothing() {
+    let mut router = started(vec![server("a", "orders", "east-a", 5)]);
+    let mut old = server("a", "orders", "east-a", 4);
+    old.draining = true;
+    let plan = router.plan("shop", "/o/").unwrap();
+
+    router.learn_server(at(10), old);
+
+    assert!(send(&mut router, at(10), &plan, None).is_ok());
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_this_hosts_share() {
+    let mut router = started(vec![server("old", "orders", "west-a", 1)]);
+    router.set_hosts(4);
+    router.lose_server(at(5), "old");
+    router.learn_server(at(10), server("new", "orders", "east-a", 1));
+    let plan = router.plan("shop", "/o/").unwrap();
+
+    // Four hosts share 10 x 1.5 + 5 - 1 requests a second.
+    let mut sent = 0;
+    for step in 0..100 {
+        if let Ok(target) = send(&mut router, at(10 + step * 10), &plan, None) {
+            router.ended(
+                at(11 + step * 10),
+                &target,
+                Ending::Answered { success: true },
+                None,
+            );
+            sent += 1;
+        }
+    }
+
+    assert_eq!(sent, 4);
+}
+
+#[test]
+fn a_server_out_of_reach_is_passed_over_and_comes_back_cold() {
+    let mut router = started(vec![server("a", "orders", "east-a", 1)]);
+    let plan = router.plan("shop", "/o/").unwrap();
+    let target = send(&mut router, at(0), &plan, None).unwrap();
+
+    router.ended(at(10), &target, Ending::Unreachable, None);
+
+    assert_eq!(
+        send(&mut router, at(20), &plan, None).unwrap_err().cause,
+        RefusalCause::NoServer
+    );
+    let key = router.servers().find("a").unwrap();
+    assert!(send(&mut router, at(400), &plan, None).is_ok());
+    assert!(
+        router.servers().get(key).unwrap().is_cold(at(400)),
+        "it may have restarted unseen"
+    );
+}
+
+#[test]
+fn a_key_goes_to_its_owner_or_to_nobody() {
+    let mut router = started(vec![
+        server("a", KEYED, "east-a", 1),
+        server("b", KEYED, "east-b", 1),
+    ]);
+    let plan = router.plan("shop", "/k/").unwrap();
+    let spans = vec![
+        TableSpan {
+            from: 0,
+            to: 99,
+            server: Some(Arc::from("b")),
+        },
+        TableSpan {
+            from: 100,
+            to: 65_535,
+            server: None,
+        },
+    ];
+    let services = [(Arc::from(KEYED), spans)].into();
+    router.set_table(Table {
+        term: 1,
+        version: 1,
+        services,
+    });
+
+    let owned = send(&mut router, at(0), &plan, Some(99)).unwrap();
+    let between = send(&mut router, at(0), &plan, Some(100)).unwrap_err();
+    let keyless = send(&mut router, at(0), &plan, None).unwrap_err();
+
+    assert_eq!(&*owned.entry.id, "b");
+    assert_eq!(between.cause, RefusalCause::NoOwner);
+    assert_eq!(keyless.cause, RefusalCause::NoOwner);
+}
+
+#[test]
+fn an_older_table_changes_nothing() {
+    let mut router = router();
+    router.set_table(Table {
+        term: 3,
+        version: 2,
+        ..Table::default()
+    });
+
+    router.set_table(Table {
+        term: 2,
+        version: 9,
+        ..Table::default()
+    });
+    router.set_table(Table {
+        term: 3,
+        version: 1,
+        ..Table::default()
+    });
+
+    assert_eq!((router.table().term, router.table().version), (3, 2));
+}
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -460,7 +460,7 @@
                 Delivery::Entries { host }
                     if !self.is_frozen(host) && self.store_up && self.entries[host].store =>
                 {
-                    self.read_entries(host)
+                    self.read_entries(host);
                 }
                 Delivery::Entries { host } => self.push(200, Delivery::Entries { host }),
                 Delivery::Order {
@@ -679,7 +679,7 @@
 
     fn confirm(&mut self, host: usize) {
         let term = self.entries[host].granter.as_ref().map_or(0, Granter::term);
-        if self.now % 500 != 0 {
+        if !self.now.is_multiple_of(500) {
             return;
         }
         let mut echoes = 1;
