--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,69 @@
+//! The `amaranthshunt-soak` command.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use amaranthshunt_soak::{Size, play};
+use getopts::Options;
+use miette::{IntoDiagnostic, miette};
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> miette::Result<bool> {
+    let mut options = Options::new();
+    options.optopt("", "seed", "the seed (1)", "N");
+    options.optopt("", "seconds", "how long faults go on (20)", "S");
+    options.optopt(
+        "",
+        "program",
+        "the amaranthshunt program (beside this one)",
+        "FILE",
+    );
+    options.optflag("", "large", "four times as many hosts and servers");
+    options.optflag("h", "help", "print this help and exit");
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let matches = options.parse(&arguments).into_diagnostic()?;
+    if matches.opt_present("help") {
+        print!(
+            "{}",
+            options.usage("Usage: amaranthshunt-soak [--seed N] [--seconds S]")
+        );
+        return Ok(true);
+    }
+    let seed = matches.opt_get_default("seed", 1_u64).into_diagnostic()?;
+    let seconds = matches
+        .opt_get_default("seconds", 20_u64)
+        .into_diagnostic()?;
+    let program = match matches.opt_str("program") {
+        Some(path) => PathBuf::from(path),
+        None => beside().ok_or_else(|| {
+            miette!("no amaranthshunt beside this program; name it with --program")
+        })?,
+    };
+    let size = if matches.opt_present("large") {
+        Size::Large
+    } else {
+        Size::Small
+    };
+    let played =
+        async_std::task::block_on(play(&program, seed, Duration::from_secs(seconds), size));
+    let report = played.into_diagnostic()?;
+    print!("{report}");
+    Ok(report.is_clean())
+}
+
+fn beside() -> Option<PathBuf> {
+    let own = std::env::current_exe().ok()?;
+    let program = own.parent()?.join("amaranthshunt");
+    program.exists().then_some(program)
+}
--- a/crates/support/src/lib.rs
+++ b/crates/support/src/lib.rs
@@ -7,6 +7,7 @@
 mod load;
 mod lock;
 mod metrics;
+pub mod platform;
 mod serve;
 mod store;
 
