Changes of the table instead of tables; hosts prefer different servers; cold shares have phases

Now: changed spans only; a preference of each host for each server; moves of a tenth of a server's capacity at least; the first token of a sparse share at a time of its own.

--- a/crates/core/src/front/balance.rs
+++ b/crates/core/src/front/balance.rs
@@ -14,6 +14,8 @@
 const BUSY: f64 = 0.7;
 /// Difference of utilization that is worth a move.
 const GAP: f64 = 0.2;
+/// Part of a server's capacity below which a move only follows chance.
+const SMALLEST_PART: f64 = 0.1;
 /// Utilization by which the busier of two servers has to gain for a move to be made.
 const GAIN: f64 = 0.1;
 
@@ -143,7 +145,8 @@
         let level = (giver.rate + taker.rate) / (giver.capacity + taker.capacity).max(0.1);
         let spare = mean.max(level.min(BUSY)) * taker.capacity - taker.rate;
         let rate = (giver.rate - level * giver.capacity).min(spare.max(0.1));
-        Some(Self {
+        let worth = rate >= giver.capacity * SMALLEST_PART;
+        worth.then_some(Self {
             source,
             target,
             rate,
--- a/crates/core/src/front/cold.rs
+++ b/crates/core/src/front/cold.rs
@@ -19,18 +19,29 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdShare {
     sent: VecDeque<Time>,
+    begun: bool,
 }
 
 impl ColdShare {
     /// Whether one more request may be sent now, where all `hosts` together may send `bound` in a
     /// second.
-    pub fn admits(&mut self, now: Time, bound: f64, hosts: usize) -> bool {
+    ///
+    /// `phase`, from 0 to 1 and other at every host, says how much of its first turn has passed
+    /// when the server turns cold: hosts that begin together must not send together.
+    pub fn admits(&mut self, now: Time, bound: f64, hosts: usize, phase: f64) -> bool {
         let share = bound / hosts.max(1) as f64;
         let (count, window) = if share >= 1.0 {
             (share.floor() as usize, WINDOW)
         } else {
             (1, WINDOW.div_f64((share * SPARSE_CAUTION).max(0.01)))
         };
+        if !self.begun {
+            self.begun = true;
+            if share < 1.0 {
+                self.sent
+                    .push_back(now - window.mul_f64(phase.clamp(0.0, 1.0)));
+            }
+        }
         while self.sent.front().is_some_and(|at| now.since(*at) >= window) {
             self.sent.pop_front();
         }
@@ -45,5 +56,6 @@
     /// Forgets all that was sent, for a server that is warm.
     pub fn clear(&mut self) {
         self.sent.clear();
+        self.begun = false;
     }
 }
--- a/crates/core/src/front/placement.rs
+++ b/crates/core/src/front/placement.rs
@@ -66,8 +66,64 @@
         span.server.as_ref()
     }
 
+    /// The spans in which another table of the same term differs from an earlier one.
+    pub fn changes_since(&self, earlier: &Self) -> BTreeMap<Arc<str>, Vec<TableSpan>> {
+        let mut changes = BTreeMap::new();
+        for (service, spans) in &self.services {
+            let known = earlier.services.get(service).map_or(&[][..], Vec::as_slice);
+            let differs = |span: &&TableSpan| {
+                let index = known.partition_point(|old| old.to < span.from);
+                let old = known.get(index);
+                let same = old.is_some_and(|old| {
+                    old.from <= span.from && span.to <= old.to && old.server == span.server
+                });
+                !same
+            };
+            let changed: Vec<TableSpan> = spans.iter().filter(differs).cloned().collect();
+            if !changed.is_empty() {
+                changes.insert(service.clone(), changed);
+            }
+        }
+        changes
+    }
+
+    /// Takes in changed spans, which make this table the given version.
+    pub fn apply(&mut self, version: u64, changes: &BTreeMap<Arc<str>, Vec<TableSpan>>) {
+        for (service, spans) in changes {
+            let known = self.services.entry(service.clone()).or_default();
+            for span in spans {
+                assign(known, span);
+            }
+        }
+        self.version = version;
+    }
+
     /// Whether another table was made later.
     pub fn is_older_than(&self, other: &Self) -> bool {
         (self.term, self.version) < (other.term, other.version)
     }
 }
+
+/// Puts one span into others, of which those that it covers partly are cut.
+fn assign(spans: &mut Vec<TableSpan>, new: &TableSpan) {
+    let first = spans.partition_point(|span| span.to < new.from);
+    let end = spans.partition_point(|span| span.from <= new.to);
+    let mut kept = Vec::with_capacity(3);
+    for span in &spans[first..end] {
+        if span.from < new.from {
+            let to = new.from - 1;
+            kept.push(TableSpan { to, ..span.clone() });
+        }
+    }
+    kept.push(new.clone());
+    for span in &spans[first..end] {
+        if span.to > new.to {
+            let from = new.to + 1;
+            kept.push(TableSpan {
+                from,
+                ..span.clone()
+            });
+        }
+    }
+    spans.splice(first..end, kept);
+}
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use super::config::{Config, Route, Service};
 use super::load::{FIRST_MEAN, LoadReport};
-use super::placement::Table;
+use super::placement::{Table, TableSpan};
 use super::retries::RetryShare;
 use super::servers::{ServerEntry, Servers, Standing};
 use super::splits::Splits;
@@ -18,6 +20,9 @@
 const DOMAIN_PENALTY: Duration = Duration::from_millis(30);
 /// What a server in another region is taken to cost more, in time.
 const REGION_PENALTY: Duration = Duration::from_millis(110);
+/// Part of the usual time of work by which a host prefers some servers to others, so that hosts
+/// that know equally little do not all choose the same one.
+const PREFERENCE: f64 = 0.3;
 /// Requests beyond its slots that a server is sent for the most urgent rank.
 const URGENT_QUEUE: f64 = 3.0;
 /// Requests that each rank less is sent fewer.
@@ -236,6 +241,21 @@
         }
     }
 
+    /// Takes in what changed in a table since the version before; `false` where this host has
+    /// another one and needs the whole table.
+    pub fn change_table(
+        &mut self,
+        term: u64,
+        version: u64,
+        changes: &BTreeMap<Arc<str>, Vec<TableSpan>>,
+    ) -> bool {
+        let follows = self.table.term == term && self.table.version + 1 == version;
+        if follows {
+            self.table.apply(version, changes);
+        }
+        follows
+    }
+
     /// Takes in how many hosts share bounds.
     pub fn set_hosts(&mut self, hosts: usize) {
         self.hosts = hosts.max(1);
@@ -291,7 +311,8 @@
         let (id, draining) = (entry.id.clone(), entry.draining);
         let before = self.servers.find(&id).and_then(|key| self.servers.get(key));
         let drained = before.is_some_and(|standing| standing.entry.draining);
-        if self.servers.learn(now, entry, warm_up) && self.started {
+        let preference = preference(&self.settings.name, &id);
+        if self.servers.learn(now, entry, warm_up, preference) && self.started {
             self.note(Code::ServerBack, &*id, "");
         }
         if draining && !drained {
@@ -498,7 +519,11 @@
         let Some(standing) = self.servers.get_mut(server) else {
             return Err(Refused::new(RefusalCause::NoServer, LONGEST_RETURN));
         };
-        if standing.is_cold(now) && !standing.cold.admits(now, bound, hosts) {
+        if standing.is_cold(now)
+            && !standing
+                .cold
+                .admits(now, bound, hosts, 1.0 - standing.preference)
+        {
             return Err(Refused::new(RefusalCause::Cold, KEY_RETURN));
         }
         let slots = f64::from(standing.entry.slots);
@@ -546,10 +571,10 @@
         } else {
             REGION_PENALTY
         };
-        let expected = standing
-            .load
-            .expected(now, entry.slots, self.usual(&entry.service));
-        expected.max(standing.load.oldest(now) / 2) + penalty
+        let usual = self.usual(&entry.service);
+        let expected = standing.load.expected(now, entry.slots, usual);
+        let preference = usual.mul_f64(PREFERENCE * standing.preference);
+        expected.max(standing.load.oldest(now) / 2) + penalty + preference
     }
 
     /// The usual time of work of each service, as this host has seen it.
@@ -623,3 +648,9 @@
         self.log.push(Record::new(code, subject, detail));
     }
 }
+
+/// How little a host prefers a server, from 0 to 1; the same at every call, and other at every host.
+fn preference(host: &str, server: &str) -> f64 {
+    let hash = xxh3_64_with_seed(server.as_bytes(), xxh3_64(host.as_bytes()));
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -52,6 +52,8 @@
     pub cold_until: Time,
     /// Requests sent while it is cold.
     pub cold: ColdShare,
+    /// How little this host prefers it among equals, from 0 to 1.
+    pub preference: f64,
     /// Until when it gets no request.
     pub shunned_until: Time,
     shun: Duration,
@@ -59,12 +61,13 @@
 }
 
 impl Standing {
-    fn new(entry: ServerEntry, now: Time, cold_for: Duration) -> Self {
+    fn new(entry: ServerEntry, now: Time, cold_for: Duration, preference: f64) -> Self {
         Self {
             entry,
             load: LoadView::default(),
             cold_until: now + cold_for,
             cold: ColdShare::default(),
+            preference,
             shunned_until: Time::ZERO,
             shun: FIRST_SHUN,
             failures: 0,
@@ -114,8 +117,15 @@
     /// Takes in an entry; returns whether it is a new life.
     ///
     /// `warm_up` is how long a server of the service is cold after its start, where the entry
-    /// is of a life that began while this host was running.
-    pub fn learn(&mut self, now: Time, entry: ServerEntry, warm_up: Option<Duration>) -> bool {
+    /// is of a life that began while this host was running; `preference` tells this host's choices
+    /// among equals from those of others.
+    pub fn learn(
+        &mut self,
+        now: Time,
+        entry: ServerEntry,
+        warm_up: Option<Duration>,
+        preference: f64,
+    ) -> bool {
         let key = self.arena.intern(&entry.id);
         if let Some(known) = self.arena.get(key) {
             if is_older(entry.born, known.entry.born) {
@@ -139,7 +149,7 @@
         let cold_for = entry.cold_for.max(warm_up.unwrap_or_default());
         let service = entry.service.clone();
         self.arena
-            .set(key, Some(Standing::new(entry, now, cold_for)));
+            .set(key, Some(Standing::new(entry, now, cold_for, preference)));
         self.by_service.entry(service).or_default().push(key);
         true
     }
--- a/crates/core/tests/front/bounds.rs
+++ b/crates/core/tests/front/bounds.rs
@@ -47,7 +47,7 @@
     for millis in (0..10_000).step_by(7) {
         let now = Time::from_millis(1_000 + millis);
         for share in &mut shares {
-            if share.admits(now, bound, hosts) {
+            if share.admits(now, bound, hosts, 0.5) {
                 share.spend(now);
                 sent.push(millis);
             }
@@ -71,7 +71,7 @@
 
     for millis in (0..60_000).step_by(10) {
         let now = Time::from_millis(1_000 + millis);
-        if share.admits(now, 14.5, 61) {
+        if share.admits(now, 14.5, 61, 0.5) {
             share.spend(now);
             sent += 1;
         }
@@ -80,3 +80,28 @@
     let rate = f64::from(sent) / Duration::from_secs(60).as_secs_f64() * 61.0;
     assert!(rate < 14.5 / 2.0, "{rate} requests a second over all hosts");
 }
+
+#[test]
+fn many_hosts_that_all_want_a_cold_server_do_not_send_together() {
+    let hosts = 61;
+    let mut shares = vec![ColdShare::default(); hosts];
+    let mut sent: Vec<u64> = Vec::new();
+
+    for millis in (0..6_000).step_by(10) {
+        let now = Time::from_millis(100_000 + millis);
+        for (number, share) in shares.iter_mut().enumerate() {
+            let phase = number as f64 / hosts as f64;
+            if share.admits(now, 14.5, hosts, phase) {
+                share.spend(now);
+                sent.push(millis);
+            }
+        }
+    }
+
+    let most = sent.iter().map(|start| {
+        sent.iter()
+            .filter(|at| **at >= *start && **at < start + 1_000)
+            .count()
+    });
+    assert!(most.max().unwrap_or_default() <= 14);
+}
--- a/crates/core/tests/front/routes.rs
+++ b/crates/core/tests/front/routes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Part, RefusalCause, Splits};
+use amaranthshunt_core::front::{Part, RefusalCause, Splits, Table, TableSpan};
 use yare::parameterized;
 
 use crate::fixture::{config, route, router, server};
@@ -106,3 +106,38 @@
         .unwrap();
     assert_eq!(&*target.entry.id, "e1");
 }
+
+#[test]
+fn a_table_follows_from_its_changes() {
+    let span = |from, to, server: Option<&str>| TableSpan {
+        from,
+        to,
+        server: server.map(Arc::from),
+    };
+    let table = |version, spans: Vec<TableSpan>| Table {
+        term: 1,
+        version,
+        services: [(Arc::from("catalogue"), spans)].into(),
+    };
+    let before = table(
+        1,
+        vec![span(0, 99, Some("a")), span(100, 65_535, Some("b"))],
+    );
+    let after = table(
+        2,
+        vec![
+            span(0, 9, Some("a")),
+            span(10, 20, None),
+            span(21, 99, Some("a")),
+            span(100, 65_000, Some("c")),
+            span(65_001, 65_535, Some("b")),
+        ],
+    );
+
+    let changes = after.changes_since(&before);
+    let mut followed = before.clone();
+    followed.apply(2, &changes);
+
+    assert_eq!(changes[&Arc::from("catalogue")].len(), 2);
+    assert_eq!(followed, after);
+}
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -438,7 +438,7 @@
             if backend.up {
                 let mut entry = server(&backend.id, KEYED, "r/a", backend.born);
                 entry.draining = backend.draining;
-                servers.learn(now, entry, None);
+                servers.learn(now, entry, None, 0.0);
             } else if let Some(key) = servers.find(&backend.id) {
                 servers.remove(key);
             }
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -90,6 +90,14 @@
         number
     }
 
+    /// Sends the whole table to a host that has missed a change.
+    pub(crate) fn send_table(&self, name: &str) {
+        let table = TableMessage::from(lock(&self.granter).table());
+        if let Some(follower) = lock(&self.followers).get(name) {
+            push(name, &follower.sender, Body::Table(table));
+        }
+    }
+
     /// Takes in what a following host saw.
     pub(crate) fn report(&self, name: &str, report: Report) {
         if let Some(follower) = lock(&self.followers).get_mut(name) {
@@ -394,7 +402,7 @@
     front.set_leading(Some(leading.clone()));
     let mut beaten = Time::ZERO;
     let mut asked = Time::ZERO;
-    let mut published = 0;
+    let mut published = Table::default();
     let mut counted = (0, started);
     while !leading.is_ended() {
         let now = clock::now();
@@ -453,7 +461,7 @@
     });
 }
 
-fn advance(front: &Arc<Front>, leading: &Arc<Leading>, published: &mut u64) {
+fn advance(front: &Arc<Front>, leading: &Arc<Leading>, published: &mut Table) {
     let orders = front.route(|router, now| {
         let config = router.config().cloned().unwrap_or_default();
         let world = World {
@@ -468,10 +476,12 @@
         execute(front, leading, order);
     }
     let table = lock(&leading.granter).table().clone();
-    if table.version != *published {
-        *published = table.version;
-        leading.send_all(&Body::Table(TableMessage::from(&table)));
-        front.route(|router, _| router.set_table(table));
+    if table.version != published.version {
+        let changes = table.changes_since(published);
+        let message = TableMessage::new(table.term, table.version, &changes);
+        leading.send_all(&Body::Changes(message));
+        front.route(|router, _| router.set_table(table.clone()));
+        *published = table;
     }
 }
 
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -19,7 +19,7 @@
 /// Any message.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) body: Option<Body>,
 }
 
@@ -47,6 +47,12 @@
     /// Milliseconds since the granting host was heard.
     #[prost(uint64, tag = "7")]
     Silent(u64),
+    /// What changed in the table since the version before.
+    #[prost(message, tag = "8")]
+    Changes(TableMessage),
+    /// A following host has missed a change and needs the whole table.
+    #[prost(bool, tag = "9")]
+    TableLost(bool),
 }
 
 /// Who a following host is.
@@ -128,24 +134,38 @@
     /// Servers that the spans name by index, one more than it; zero names none.
     #[prost(string, repeated, tag = "2")]
     pub(crate) servers: Vec<String>,
-    /// The last key of each span; the first one follows the span before.
+    /// The last key of each span.
     #[prost(uint32, repeated, tag = "3")]
     pub(crate) ends: Vec<u32>,
     #[prost(uint32, repeated, tag = "4")]
     pub(crate) owners: Vec<u32>,
+    /// The first key of each span.
+    #[prost(uint32, repeated, tag = "5")]
+    pub(crate) starts: Vec<u32>,
 }
 
-impl From<&Table> for TableMessage {
-    fn from(table: &Table) -> Self {
-        let services = table.services.iter();
+impl TableMessage {
+    /// Packs spans of a table of a term and version.
+    pub(crate) fn new(
+        term: u64,
+        version: u64,
+        services: &BTreeMap<Arc<str>, Vec<TableSpan>>,
+    ) -> Self {
+        let services = services.iter();
         Self {
-            term: table.term,
-            version: table.version,
+            term,
+            version,
             services: services.map(|(name, spans)| pack(name, spans)).collect(),
         }
     }
 }
 
+impl From<&Table> for TableMessage {
+    fn from(table: &Table) -> Self {
+        Self::new(table.term, table.version, &table.services)
+    }
+}
+
 fn pack(service: &str, spans: &[TableSpan]) -> ServiceTable {
     let mut packed = ServiceTable {
         service: service.to_owned(),
@@ -160,6 +180,7 @@
             });
             index as u32 + 1
         });
+        packed.starts.push(u32::from(span.from));
         packed.ends.push(u32::from(span.to));
         packed.owners.push(owner);
     }
@@ -183,20 +204,16 @@
         .iter()
         .map(|name| Arc::from(name.as_str()))
         .collect();
-    let mut from = 0;
-    let mut spans = Vec::with_capacity(packed.ends.len());
-    for (end, owner) in packed.ends.iter().zip(&packed.owners) {
-        let server = (*owner as usize)
-            .checked_sub(1)
-            .and_then(|index| servers.get(index))
-            .cloned();
-        spans.push(TableSpan {
-            from,
-            to: *end as u16,
-            server,
-        });
-        from = (*end as u16).wrapping_add(1);
-    }
+    let keys = packed.starts.iter().zip(&packed.ends);
+    let spans = keys.zip(&packed.owners).map(|((from, to), owner)| {
+        let index = (*owner as usize).checked_sub(1);
+        TableSpan {
+            from: *from as u16,
+            to: *to as u16,
+            server: index.and_then(|index| servers.get(index)).cloned(),
+        }
+    });
+    let spans = spans.collect();
     (Arc::from(packed.service.as_str()), spans)
 }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
+use amaranthshunt_core::front::Table;
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -82,6 +83,10 @@
                 leading.report(&hello.name, report);
                 Some(())
             }
+            Either::Right(Some(Body::TableLost(_))) => {
+                leading.send_table(&hello.name);
+                Some(())
+            }
             _ => None,
         };
         if done.is_none() || front.leading().is_none() {
@@ -122,6 +127,17 @@
             Body::Table(table) if table.term == term => {
                 front.route(|router, _| router.set_table(table.into()));
             }
+            Body::Changes(changes) if changes.term == term => {
+                let changes = Table::from(changes);
+                let known = front.route(|router, _| {
+                    router.change_table(term, changes.version, &changes.services)
+                });
+                if !known {
+                    timeout(SILENCE, link.send(Body::TableLost(true)))
+                        .await
+                        .ok()??;
+                }
+            }
             Body::Resign(_) => return Some(Ended::Resigned),
             _ => return None,
         }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use amaranthshunt_support::free_address;
 use amaranthshunt_support::platform::{
@@ -35,6 +35,8 @@
     log: PathBuf,
     child: Option<Child>,
     pub(crate) stopped: bool,
+    /// When it was paused, and until when, if it goes on.
+    pauses: Vec<(Instant, Option<Instant>)>,
 }
 
 impl Entry {
@@ -53,7 +55,7 @@
             .stderr(log)
             .spawn()?;
         self.child = Some(child);
-        self.stopped = false;
+        self.resume();
         Ok(())
     }
 
@@ -81,12 +83,28 @@
             eprintln!("{} cannot be signalled: {error}", self.name);
         }
         match signal {
-            Signal::STOP => self.stopped = true,
-            Signal::CONT => self.stopped = false,
+            Signal::STOP if !self.stopped => {
+                self.stopped = true;
+                self.pauses.push((Instant::now(), None));
+            }
+            Signal::CONT | Signal::KILL => self.resume(),
             _ => {}
         }
     }
 
+    fn resume(&mut self) {
+        self.stopped = false;
+        if let Some((_, end)) = self.pauses.last_mut() {
+            end.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Whether the process was paused at any time of a span.
+    pub(crate) fn was_paused(&self, from: Instant, to: Instant) -> bool {
+        let mut pauses = self.pauses.iter();
+        pauses.any(|(began, ended)| *began <= to && ended.is_none_or(|ended| ended >= from))
+    }
+
     /// Lines of its log that name a request.
     pub(crate) fn lines_of(&self, request: &str) -> Vec<String> {
         let mut text = String::new();
@@ -218,6 +236,7 @@
             log,
             child: None,
             stopped: false,
+            pauses: Vec::new(),
         };
         self.entries.push(entry);
         Ok(())
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -54,11 +54,12 @@
             *self.counts.entry(status.to_string()).or_default() += 1;
             let none = Vec::new();
             let ran = runs.get(&request.id).unwrap_or(&none);
-            if let Some(text) = broken(request, ran) {
+            let paused = fleet.entries[request.host].was_paused(request.sent, request.ended);
+            if let Some(text) = broken(request, ran, paused) {
                 self.show(fleet, request, &text, ran);
             }
         }
-        self.check_service(seen, calm);
+        self.check_service(fleet, seen, calm);
     }
 
     fn show(&mut self, fleet: &Fleet, request: &Seen, text: &str, ran: &[String]) {
@@ -79,28 +80,36 @@
         ));
     }
 
-    fn check_service(&mut self, seen: &[Seen], calm: Instant) {
+    fn check_service(&mut self, fleet: &Fleet, seen: &[Seen], calm: Instant) {
         for ask in ["Read", "Pay", "Home", "Version"] {
             let of = seen.iter().filter(|request| {
                 request.sent >= calm && format!("{:?}", request.ask).starts_with(ask)
             });
             let all: Vec<&Seen> = of.collect();
-            let served = all
-                .iter()
-                .filter(|request| matches!(request.answer, Some((200, _))))
-                .count();
+            let served = all.iter().filter(|request| is_served(request)).count();
             if (served as f64) < SERVED * all.len() as f64 || all.is_empty() {
+                let failed = all.iter().filter(|request| !is_served(request));
+                let lines =
+                    failed.flat_map(|request| fleet.entries[request.host].lines_of(&request.id));
+                let lines: Vec<String> = lines.take(SHOWN).collect();
                 self.findings.push(format!(
-                    "service: {served} of {} {ask} requests after all faults",
-                    all.len()
+                    "service: {served} of {} {ask} requests after all faults\n      {}",
+                    all.len(),
+                    lines.join("\n      ")
                 ));
             }
         }
     }
 }
 
+fn is_served(request: &Seen) -> bool {
+    matches!(request.answer, Some((200, _)))
+}
+
 /// Says which promise to a caller was broken, if any.
-fn broken(request: &Seen, ran: &[String]) -> Option<String> {
+///
+/// A host that was paused meanwhile cannot keep a time.
+fn broken(request: &Seen, ran: &[String], paused: bool) -> Option<String> {
     let idempotent = matches!(request.ask, Ask::Read | Ask::Version(_));
     if !idempotent && ran.len() > 1 {
         return Some("twice: it ran more than once".to_owned());
@@ -119,7 +128,7 @@
         return Some("mixed: a success without signature".to_owned());
     }
     let longest = Duration::from_millis(TIMEOUT_MS) + LATE;
-    if request.ended - request.sent > longest {
+    if request.ended - request.sent > longest && !paused {
         return Some("late: it was held past its route's time-out".to_owned());
     }
     None
