A server that turns requests away counts as full for a while; the soak keeps logs it needs

Its load is now taken to be over its slots, fading by half in 0.7 s. The stand-in counted hanging requests as running for ever; a hang ends with its fault now.

--- a/crates/core/src/front/load.rs
+++ b/crates/core/src/front/load.rs
@@ -8,6 +8,8 @@
 const MEAN_WEIGHT: f64 = 0.15;
 /// Weight of the newest report in what others have running.
 const OTHERS_WEIGHT: f64 = 0.4;
+/// Requests beyond its slots that a server has at least when it turns one away.
+const FULL_QUEUE: f64 = 4.0;
 /// Time after which half of what others had running is taken to be done.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
 /// Time without an answer after which half of a server's slowness is forgotten.
@@ -60,6 +62,13 @@
         self.others_at = now;
     }
 
+    /// Takes in that the server turned a request away, so that it is full whatever was thought.
+    pub fn rejected(&mut self, now: Time, slots: u32) {
+        let full = f64::from(slots) + FULL_QUEUE;
+        self.others = self.others_at(now).max(full - self.started.len() as f64);
+        self.others_at = now;
+    }
+
     /// Takes in how long an answer took.
     pub fn answered(&mut self, now: Time, took: Duration, usual: Duration) {
         let micros = took.as_micros() as f64;
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -640,7 +640,11 @@
                     self.note(Code::ServerShunned, &*id, "another server has its address");
                 }
             }
-            Ending::NotRun | Ending::Misdirected | Ending::Abandoned => {}
+            Ending::NotRun => {
+                let slots = standing.entry.slots;
+                standing.load.rejected(now, slots);
+            }
+            Ending::Misdirected | Ending::Abandoned => {}
         }
     }
 
--- a/crates/core/tests/front/servers.rs
+++ b/crates/core/tests/front/servers.rs
@@ -262,3 +262,21 @@
 
     assert_eq!((router.table().term, router.table().version), (3, 2));
 }
+
+#[test]
+fn a_server_that_turns_requests_away_is_full_for_a_while() {
+    let mut router = started(vec![
+        server("near", "orders", "east-a", 1),
+        server("far", "orders", "east-b", 1),
+    ]);
+    let plan = router.plan("shop", "/o/").unwrap();
+    let target = send(&mut router, at(0), &plan, None).unwrap();
+    assert_eq!(&*target.entry.id, "near");
+
+    router.ended(at(5), &target, Ending::NotRun, None);
+
+    let next = send(&mut router, at(10), &plan, None).unwrap();
+    assert_eq!(&*next.entry.id, "far");
+    let later = send(&mut router, at(5_000), &plan, None).unwrap();
+    assert_eq!(&*later.entry.id, "near");
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -268,12 +268,14 @@
         self.store.put("config", "main", spec, Value::Null);
     }
 
-    /// Ends every process and removes the folder.
-    pub(crate) fn end(&mut self) {
+    /// Ends every process. The folder with the logs stays where they are needed.
+    pub(crate) fn end(&mut self, keeps_logs: bool) {
         for entry in &mut self.entries {
             entry.end();
         }
-        if let Err(error) = fs::remove_dir_all(&self.folder) {
+        if keeps_logs {
+            println!("logs are in {}", self.folder.display());
+        } else if let Err(error) = fs::remove_dir_all(&self.folder) {
             eprintln!("{} is left behind: {error}", self.folder.display());
         }
     }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -80,7 +80,7 @@
     task::sleep(Duration::from_secs(5)).await;
     let seen = seen.lock().unwrap_or_else(PoisonError::into_inner).clone();
     report.check(&fleet, &seen, faults_end + RECOVERY);
-    fleet.end();
+    fleet.end(!report.is_clean());
     Ok(report)
 }
 
--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -15,6 +15,9 @@
 /// How much slower than true time the clock of a server is that measures holds.
 const SLOW_CLOCK: f64 = 1.02;
 
+/// Time between two looks at whether a server still hangs.
+const HANG_POLL: Duration = Duration::from_millis(50);
+
 /// What is wrong with a server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum UpstreamFault {
@@ -339,7 +342,10 @@
     };
     let _running = Running(upstream.state.clone());
     if fault == UpstreamFault::Hangs {
-        futures::future::pending::<()>().await;
+        while lock(&upstream.state).fault == UpstreamFault::Hangs {
+            task::sleep(HANG_POLL).await;
+        }
+        return Ok(refusal(503, &id));
     }
     if running > options.slots * 4 {
         return Ok(refusal(503, &id));
