Long watches where the granting host tells of changes; refusals late in a stop

A beat now names the last change of each kind that the granting host has seen; a watch that is behind it for 0.7 s is begun anew. From 2.7 s after SIGTERM requests are refused as not run, and told to come back at once.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{Limits, Refused};
+use amaranthshunt_core::front::{Limits, RefusalCause, Refused};
 use amaranthshunt_core::log::Code;
 use amaranthshunt_platform as platform;
 use async_std::net::TcpListener;
@@ -22,6 +22,8 @@
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 /// Time for which a caller may take to read its answer.
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// Time after which a caller of a leaving host comes back, to another one.
+const RETURN: Duration = Duration::from_millis(50);
 /// Pause after a connection could not be accepted, for descriptors to become free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -143,7 +145,14 @@
         .to_owned();
     let keeps = head.keeps;
     let host = head.headers.get("host").unwrap_or_default().to_owned();
-    let planned = front.route(|router, _| router.plan(&host, &head.target));
+    let planned = if front.refuses() {
+        Err(Refused {
+            cause: RefusalCause::Leaving,
+            retry_after: Some(RETURN),
+        })
+    } else {
+        front.route(|router, _| router.plan(&host, &head.target))
+    };
     let answer = match planned {
         Err(refused) => Some(refuse(front, &id, refused)),
         Ok(plan) => {
--- a/crates/front/src/command.rs
+++ b/crates/front/src/command.rs
@@ -102,7 +102,7 @@
     let callers = bind(settings.callers).await?;
     let hosts = bind(settings.peers()).await?;
     task::spawn(ready::answer(front.clone(), ready));
-    for kind in [platform::CONFIG, platform::SERVERS, platform::EVACUATIONS] {
+    for kind in watch::KINDS {
         task::spawn(watch::follow(front.clone(), kind));
     }
     task::spawn(peers::accept(front.clone(), hosts));
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,12 +1,15 @@
 //! What the parts of one entry host share.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{FrontSettings, Router};
 use amaranthshunt_core::log::{Code, Record};
 
+use amaranthshunt_platform::Kind;
 use async_std::task::JoinHandle;
 
 use crate::clock;
@@ -15,9 +18,26 @@
 use crate::lock::lock;
 use crate::logs::write_log;
 use crate::messages::Missing;
+use crate::peers::SILENCE;
 use crate::pool::Pool;
 use crate::store::StoreClient;
 
+/// Time after a request to stop in which requests are still sent on: what is sent later could be
+/// at work when the process ends.
+const LAST_REQUESTS: Duration = Duration::from_millis(2_700);
+/// Time for which a watch may miss a change that the granting host has seen: both read the store
+/// a moment apart.
+const BEHIND: Duration = Duration::from_millis(700);
+
+/// How far a kind is known.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// The store's revision up to which nothing is missing.
+    complete: u64,
+    /// The revision of the last change.
+    change: u64,
+}
+
 /// One entry host.
 pub(crate) struct Front {
     pub(crate) settings: FrontSettings,
@@ -27,6 +47,11 @@
     router: Mutex<Router>,
     missing: Mutex<Vec<Missing>>,
     leaving: AtomicBool,
+    leaving_since: AtomicU64,
+    /// How far each kind is known.
+    changes: Mutex<BTreeMap<Kind, Known>>,
+    /// The same, as the granting host tells it, and since when this host is behind.
+    told_changes: Mutex<BTreeMap<Kind, (u64, Time)>>,
     servers_read: AtomicBool,
     evacuations_read: AtomicBool,
     under_way: AtomicUsize,
@@ -46,6 +71,9 @@
             router: Mutex::new(Router::new(settings.router())),
             missing: Mutex::default(),
             leaving: AtomicBool::new(false),
+            leaving_since: AtomicU64::new(0),
+            changes: Mutex::default(),
+            told_changes: Mutex::default(),
             servers_read: AtomicBool::new(false),
             evacuations_read: AtomicBool::new(false),
             under_way: AtomicUsize::new(0),
@@ -97,8 +125,56 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether an orderly stop has gone so far that a new request might not end before it does.
+    pub(crate) fn refuses(&self) -> bool {
+        let since = Time::from_micros(self.leaving_since.load(Ordering::Relaxed));
+        self.is_leaving() && clock::now().since(since) >= LAST_REQUESTS
+    }
+
+    /// Notes how far a kind is known, and the last change that was seen of it.
+    pub(crate) fn note_change(&self, kind: Kind, complete: u64, change: Option<u64>) {
+        let mut changes = lock(&self.changes);
+        let known = changes.entry(kind).or_default();
+        known.complete = known.complete.max(complete);
+        known.change = known.change.max(change.unwrap_or_default());
+    }
+
+    /// The last change that was seen of a kind; zero where none was.
+    pub(crate) fn last_change(&self, kind: Kind) -> u64 {
+        lock(&self.changes)
+            .get(kind)
+            .map_or(0, |known| known.change)
+    }
+
+    /// Takes in which change of a kind the granting host has seen last.
+    pub(crate) fn tell_change(&self, kind: Kind, revision: u64) {
+        let mut told = lock(&self.told_changes);
+        let known = told.entry(kind).or_insert((0, Time::ZERO));
+        if revision > known.0 {
+            *known = (revision, clock::now());
+        }
+    }
+
+    /// Whether the granting host has long seen a change of a kind that this host has not.
+    pub(crate) fn is_behind(&self, kind: Kind) -> bool {
+        let told = lock(&self.told_changes).get(kind).copied();
+        told.is_some_and(|(revision, at)| {
+            let complete = lock(&self.changes)
+                .get(kind)
+                .map_or(0, |known| known.complete);
+            revision > complete && clock::now().since(at) >= BEHIND
+        })
+    }
+
+    /// Whether the granting host has been heard just now, by this host as its follower.
+    pub(crate) fn is_following(&self) -> bool {
+        self.leading().is_none() && clock::now().since(self.granter_heard()) < SILENCE
+    }
+
     /// Begins an orderly stop.
     pub(crate) fn leave(&self) {
+        let now = clock::now().as_micros();
+        self.leaving_since.store(now, Ordering::Relaxed);
         self.leaving.store(true, Ordering::Relaxed);
     }
 
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -23,7 +23,7 @@
 use crate::orders::{Call, OrderClient};
 use crate::peers::{self, Ended};
 use crate::store::StoreError;
-use crate::watch::list;
+use crate::watch::{KINDS, list};
 
 /// The name of the one record of its kind.
 const RECORD: &str = "main";
@@ -617,6 +617,7 @@
         sent: now.as_micros(),
         hosts: hosts as u32,
         store: front.store.outage().is_none(),
+        changes: KINDS.iter().map(|kind| front.last_change(kind)).collect(),
     };
     leading.send_all(&Body::Beat(beat));
 }
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -63,7 +63,7 @@
 }
 
 /// A sign of life of the granting host.
-#[derive(Clone, Copy, Message, PartialEq)]
+#[derive(Clone, Message, PartialEq)]
 pub(crate) struct Beat {
     #[prost(uint64, tag = "1")]
     pub(crate) term: u64,
@@ -76,6 +76,10 @@
     /// Whether the sender reaches the store.
     #[prost(bool, tag = "4")]
     pub(crate) store: bool,
+    /// The revision of the last change of each kind that is watched, in the order of
+    /// [`crate::watch::KINDS`].
+    #[prost(uint64, repeated, tag = "5")]
+    pub(crate) changes: Vec<u64>,
 }
 
 /// What a following host saw since its last report.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::front::Front;
 use crate::granting::heat_of;
 use crate::messages::{Beat, Body, Hello, Link, Report};
+use crate::watch::KINDS;
 
 /// Time without a beat after which the granting host counts as lost.
 pub(crate) const SILENCE: Duration = Duration::from_millis(1_600);
@@ -116,11 +117,14 @@
         match timeout(SILENCE, link.receive()).await.ok()?? {
             Body::Beat(beat) if beat.term == term => {
                 front.hear_granter();
+                for (kind, revision) in KINDS.iter().zip(&beat.changes) {
+                    front.tell_change(kind, *revision);
+                }
                 front.route(|router, _| router.set_hosts(beat.hosts as usize));
-                timeout(SILENCE, link.send(Body::Report(report(front, beat))))
+                timeout(SILENCE, link.send(Body::Report(report(front, &beat))))
                     .await
                     .ok()??;
-                if front.is_leaving() || is_better_off(front, beat, &mut storeless) {
+                if front.is_leaving() || is_better_off(front, &beat, &mut storeless) {
                     return Some(Ended::Resigned);
                 }
             }
@@ -144,7 +148,7 @@
     }
 }
 
-fn report(front: &Front, beat: Beat) -> Report {
+fn report(front: &Front, beat: &Beat) -> Report {
     Report {
         echo: beat.sent,
         heat: heat_of(front),
@@ -154,7 +158,7 @@
 }
 
 /// Whether the granting host has been without the store for long, and this host is not.
-fn is_better_off(front: &Front, beat: Beat, storeless: &mut Option<Time>) -> bool {
+fn is_better_off(front: &Front, beat: &Beat, storeless: &mut Option<Time>) -> bool {
     if beat.store || front.store.outage().is_some() {
         *storeless = None;
         return false;
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -7,12 +7,20 @@
 use amaranthshunt_core::log::Code;
 use amaranthshunt_platform::{self as platform, Change, Kind, StoreObject};
 use async_std::task;
+use futures::future::{Either, select};
 
 use crate::front::Front;
 use crate::store::{StoreError, StoreReply};
 
-/// Time for which the store may hold a watch back; a silent connection is found after it.
-const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// The kinds that every host watches.
+pub(crate) const KINDS: [Kind; 3] = [platform::CONFIG, platform::SERVERS, platform::EVACUATIONS];
+/// Time for which the store may hold a watch back where nobody else tells of changes; a silent
+/// connection is found after it.
+const LONE_WAIT: Duration = Duration::from_millis(4_000);
+/// The same where the granting host tells which changes it has seen.
+const TOLD_WAIT: Duration = Duration::from_millis(20_000);
+/// Time between two looks at whether a watch has missed a change.
+const LOOK: Duration = Duration::from_millis(250);
 /// Pause between two watches, so that changes in quick succession make one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(350);
 /// Pause after a call that failed.
@@ -110,9 +118,21 @@
             front.set_evacuations_read();
         }
     }
+    let newest = objects.iter().map(|object| object.revision).max();
+    front.note_change(kind, revision, newest);
     Ok((revision, names))
 }
 
+/// Waits until a watch has missed a change, or those who would tell of it are no longer heard.
+async fn missed(front: &Front, kind: Kind, told: bool) {
+    loop {
+        task::sleep(LOOK).await;
+        if front.is_behind(kind) || (told && !front.is_following()) {
+            return;
+        }
+    }
+}
+
 /// Waits for changes; `false` when the store has forgotten what came since.
 async fn watch(
     front: &Front,
@@ -120,8 +140,15 @@
     revision: &mut u64,
     names: &mut BTreeSet<String>,
 ) -> Result<bool, StoreError> {
-    let path = platform::watch_path(kind, *revision, WATCH_WAIT);
-    let reply = get(front, &path, WATCH_WAIT).await?;
+    let told = front.is_following();
+    let wait = if told { TOLD_WAIT } else { LONE_WAIT };
+    let path = platform::watch_path(kind, *revision, wait);
+    let call = Box::pin(get(front, &path, wait));
+    let missed = Box::pin(missed(front, kind, told));
+    let reply = match select(call, missed).await {
+        Either::Left((reply, _)) => reply?,
+        Either::Right(((), _)) => return Ok(false),
+    };
     if reply.status != 200 {
         return Ok(false);
     }
@@ -129,6 +156,8 @@
     for change in &changes {
         take_change(front, kind, change, names);
     }
+    let newest = changes.iter().map(|change| change.object.revision).max();
+    front.note_change(kind, next, newest);
     *revision = next;
     Ok(true)
 }
