Majorities count hosts that were heard of, not a first guess; process tests on the platform's protocol

Cause (test keys_and_routes_are_served_while_the_store_is_down, which failed first): the granting host took twelve hosts for known before any was, so a single host had no majority and stopped granting in a store outage. It now counts the names on the list and of its followers, and reads the list again after 2 s.

--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -1,6 +1,6 @@
 //! The one host that grants keys, and how the others follow and replace it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -38,6 +38,8 @@
 const MARGIN: Duration = Duration::from_millis(300);
 /// Time before moves that have ended are taken off record.
 const TIDY: Duration = Duration::from_millis(1_000);
+/// Time for hosts to come on the list; bounds are shared among more hosts than are known before.
+const GATHERING: Duration = Duration::from_millis(4_000);
 /// Time between two looks at what has to be ordered.
 const TICK: Duration = Duration::from_millis(40);
 /// Time between two beats.
@@ -60,6 +62,8 @@
     granter: Mutex<Granter>,
     followers: Mutex<BTreeMap<String, Follower>>,
     orders: OrderClient,
+    /// Every host that was ever heard of.
+    members: Mutex<BTreeSet<String>>,
     revision: Mutex<u64>,
     ended: AtomicBool,
     started: Time,
@@ -77,6 +81,7 @@
     pub(crate) fn join(&self, name: &str, sender: Sender<Body>) -> u64 {
         let table = TableMessage::from(lock(&self.granter).table());
         push(name, &sender, Body::Table(table));
+        lock(&self.members).insert(name.to_owned());
         let mut followers = lock(&self.followers);
         let number = followers
             .get(name)
@@ -184,7 +189,7 @@
         let Some((record, revision)) = record else {
             wait_turn().await;
             if let Some(revision) = create(&front).await {
-                lead(&front, first_record(&front), revision).await;
+                lead(&front, first_record(&front), revision, &hosts).await;
             }
             continue;
         };
@@ -214,7 +219,7 @@
         started = false;
         wait_turn().await;
         if let Some((record, revision)) = take(&front, &record, revision).await {
-            lead(&front, record, revision).await;
+            lead(&front, record, revision, &hosts).await;
         }
     }
 }
@@ -379,7 +384,12 @@
 }
 
 /// Grants keys until another host does, or this one leaves.
-async fn lead(front: &Arc<Front>, record: Placement, revision: u64) {
+async fn lead(
+    front: &Arc<Front>,
+    record: Placement,
+    revision: u64,
+    hosts: &BTreeMap<String, SocketAddr>,
+) {
     let timing = GranterTiming {
         hold: HOLD.min(front.settings.hold_limit),
         renewal: RENEWAL,
@@ -391,10 +401,13 @@
     front.log(Code::GranterStarted, &name, format!("term {}", record.term));
     let started = clock::now();
     let first = record.services.is_empty();
+    let mut members: BTreeSet<String> = hosts.keys().cloned().collect();
+    members.insert(name.clone());
     let leading = Arc::new(Leading {
         granter: Mutex::new(Granter::new(started, &record, timing)),
         followers: Mutex::default(),
         orders: OrderClient::default(),
+        members: Mutex::new(members),
         revision: Mutex::new(revision),
         ended: AtomicBool::new(false),
         started,
@@ -404,6 +417,7 @@
     let mut asked = Time::ZERO;
     let mut published = Table::default();
     let mut counted = (0, started);
+    let mut gathered = false;
     while !leading.is_ended() {
         let now = clock::now();
         confirm(front, &leading, now, &mut asked);
@@ -418,7 +432,11 @@
         }
         if now.since(beaten) >= BEAT {
             beaten = now;
-            beat(front, &leading, now);
+            beat(front, &leading, now, now.since(started) >= GATHERING);
+        }
+        if !gathered && now.since(started) >= GATHERING / 2 {
+            gathered = true;
+            task::spawn(gather(front.clone(), leading.clone()));
         }
         task::sleep(TICK).await;
         if front.is_leaving() {
@@ -432,7 +450,7 @@
 
 /// Finds out whether this host is still the granting one: from the hosts, or else the store.
 fn confirm(front: &Arc<Front>, leading: &Arc<Leading>, now: Time, asked: &mut Time) {
-    let hosts = front.route(|router, _| router.hosts());
+    let hosts = lock(&leading.members).len();
     let echo = leading.majority_echo(hosts);
     if let Some(echo) = echo {
         let mut granter = lock(&leading.granter);
@@ -593,7 +611,18 @@
     }
 }
 
-fn beat(front: &Front, leading: &Leading, now: Time) {
+/// Reads which hosts are on the list by now: not all were when this one put itself there.
+async fn gather(front: Arc<Front>, leading: Arc<Leading>) {
+    match list(&front, platform::HOSTS).await {
+        Ok((objects, _)) => {
+            let names = objects.into_iter().map(|object| object.name);
+            lock(&leading.members).extend(names);
+        }
+        Err(error) => log::warn!("the list of hosts cannot be read: {error}"),
+    }
+}
+
+fn beat(front: &Front, leading: &Leading, now: Time, gathered: bool) {
     let own = heat_of(front);
     let missing = front.take_missing();
     let term = lock(&leading.granter).term();
@@ -606,9 +635,13 @@
             term: 0,
         },
     );
-    let followers = lock(&leading.followers).len();
+    let members = lock(&leading.members).len();
     let hosts = front.route(|router, _| {
-        let hosts = router.hosts().max(followers + 1);
+        let hosts = if gathered {
+            members
+        } else {
+            members.max(router.hosts())
+        };
         router.set_hosts(hosts);
         hosts
     });
--- /dev/null
+++ b/crates/host/tests/platform.rs
@@ -0,0 +1,343 @@
+//! The host on the users' platform, as a process, before stand-ins that speak its protocol.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use amaranthshunt_soak::{Size, play};
+use amaranthshunt_support::free_address;
+use amaranthshunt_support::platform::{
+    ObjectStore, StoreFault, Upstream, UpstreamFault, UpstreamOptions, Witness,
+};
+use async_std::net::TcpStream;
+use async_std::task;
+use http_types::{Method, Request, Response, Url};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_amaranthshunt");
+
+/// A host with its store and one server of each service.
+struct Site {
+    store: ObjectStore,
+    witness: Witness,
+    servers: Vec<Upstream>,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn settings(store: SocketAddr, callers: SocketAddr, ready: SocketAddr) -> String {
+    let peers = free_address();
+    format!(
+        r#"Node = "host-0"
+Ip = "{}"
+Zone = "east-a"
+Region = "east"
+InternalPorts = [{}, {}]
+Bounds = ["GraceS=6","DrainMs=2500","MaxHoldMs=10000","RetryBudgetRatio=0.2","BudgetSlack=58","WarmupOvershoot=1.5","WarmupSlack=5"]
+[Zones]
+east-a = "east"
+[Listen]
+Front = "{callers}"
+Ready = "{ready}"
+[Platform]
+Address = "{store}"
+"#,
+        peers.ip(),
+        peers.port(),
+        peers.port()
+    )
+}
+
+fn config(version: u64, prefix: &str) -> Value {
+    let route = |prefix: &str, service: &str, kind: &str| {
+        json!({
+            "Host": "shop", "PathPrefix": prefix, "Kind": kind, "TimeoutMs": 1500, "TargetLatencyMs": 500,
+            "Priority": 1, "MaxAttempts": 2, "AllowedRegions": [], "Service": service,
+        })
+    };
+    let service = |keyed: bool| json!({ "HealthPath": "/health", "MaxConnections": 100, "WarmupS": 1.0, "WarmupPerS": 60, "Sharded": keyed });
+    json!({
+        "Version": format!("r{version}"),
+        "Routes": { "read": route("/read/", "catalogue", "safe"), "pay": route(prefix, "orders", "unsafe") },
+        "Services": { "catalogue": service(true), "orders": service(false) },
+        "Limits": { "MaxHeaderBytes": 4096, "MaxBodyBytes": 10000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000 },
+    })
+}
+
+fn spawn(folder: &Path, text: &str) -> Child {
+    std::fs::create_dir_all(folder).unwrap();
+    let path = folder.join("settings.toml");
+    std::fs::write(&path, text).unwrap();
+    Command::new(PROGRAM)
+        .arg("front")
+        .env("AMARANTHSHUNT_CONFIG", path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+async fn start(name: &str) -> Site {
+    let store = ObjectStore::start(free_address()).await.unwrap();
+    let witness = Witness::default();
+    store.put("config", "main", config(1, "/pay/"), Value::Null);
+    let mut servers = Vec::new();
+    for (service, keyed) in [("catalogue", true), ("orders", false)] {
+        let listen = free_address();
+        let options = UpstreamOptions {
+            id: format!("{service}-0"),
+            service: service.to_owned(),
+            domain: "east-a".to_owned(),
+            keyed,
+            slots: 4,
+            work: Duration::from_millis(30),
+            listen,
+            address: listen,
+        };
+        servers.push(
+            Upstream::start(options, store.clone(), witness.clone())
+                .await
+                .unwrap(),
+        );
+    }
+    store.put(
+        "servers",
+        "forged",
+        json!({ "Address": 7 }),
+        json!({ "State": "?" }),
+    );
+    let (callers, ready) = (free_address(), free_address());
+    let folder = std::env::temp_dir().join(format!("amaranthshunt-{name}-{}", std::process::id()));
+    let child = spawn(&folder, &settings(store.address(), callers, ready));
+    let site = Site {
+        store,
+        witness,
+        servers,
+        callers,
+        ready,
+        child,
+        folder,
+    };
+    until("the host serves keys", async || {
+        status(&ask(&site, Method::Get, "/read/x", "first").await) == 200
+    })
+    .await;
+    site
+}
+
+async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds().await {
+        assert!(Instant::now() < end, "not in 20 s: {what}");
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn send(address: SocketAddr, method: Method, path: &str, id: &str) -> Option<Response> {
+    let url = Url::parse(&format!("http://{address}{path}")).ok()?;
+    let mut request = Request::new(method, url);
+    request.insert_header("Host", "shop");
+    request.insert_header("Request-Id", id);
+    request.insert_header("Request-Deadline-Ms", "3000");
+    request.insert_header("Shard-Key", "7");
+    if method == Method::Post {
+        request.set_body("an order");
+    }
+    let stream = TcpStream::connect(address).await.ok()?;
+    async_h1::connect(stream, request).await.ok()
+}
+
+async fn ask(site: &Site, method: Method, path: &str, id: &str) -> Option<Response> {
+    send(site.callers, method, path, id).await
+}
+
+fn status(response: &Option<Response>) -> u16 {
+    response
+        .as_ref()
+        .map_or(0, |response| response.status().into())
+}
+
+fn signal(site: &Site, signal: Signal) {
+    kill_process(Pid::from_raw(site.child.id() as i32).unwrap(), signal).unwrap();
+}
+
+fn ran(site: &Site, id: &str) -> usize {
+    site.witness
+        .runs()
+        .iter()
+        .filter(|run| run.request == id)
+        .count()
+}
+
+#[test]
+fn requests_are_served_with_and_without_keys() {
+    task::block_on(async {
+        let site = start("served").await;
+
+        let read = ask(&site, Method::Get, "/read/x", "a1").await;
+        let mut paid = ask(&site, Method::Post, "/pay/x", "a2").await;
+        let unknown = ask(&site, Method::Get, "/other/x", "a3").await;
+        let ready = send(site.ready, Method::Get, "/ready", "a4").await;
+
+        assert_eq!(
+            [
+                status(&read),
+                status(&paid),
+                status(&unknown),
+                status(&ready)
+            ],
+            [200, 200, 404, 200]
+        );
+        let paid = paid.as_mut().unwrap();
+        assert_eq!(
+            paid.header("Upstream-Signature").unwrap().as_str(),
+            "sig.orders-0"
+        );
+        assert_eq!(paid.body_string().await.unwrap(), "a2:8");
+        assert_eq!(site.witness.broken(), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_configuration_is_in_force_in_time_and_an_older_one_never_again() {
+    task::block_on(async {
+        let site = start("config").await;
+
+        site.store
+            .put("config", "main", config(5, "/new/"), Value::Null);
+        task::sleep(Duration::from_millis(2_000)).await;
+        let (new, old) = (
+            ask(&site, Method::Post, "/new/x", "b1").await,
+            ask(&site, Method::Post, "/pay/x", "b2").await,
+        );
+        site.store
+            .put("config", "main", config(4, "/pay/"), Value::Null);
+        task::sleep(Duration::from_millis(1_500)).await;
+        let still = ask(&site, Method::Post, "/new/x", "b3").await;
+
+        assert_eq!(
+            [status(&new), status(&old), status(&still)],
+            [200, 404, 200]
+        );
+    });
+}
+
+#[test]
+fn a_server_that_answers_without_signature_never_looks_like_a_success() {
+    task::block_on(async {
+        let site = start("garbled").await;
+        site.servers[1].set_fault(UpstreamFault::Garbles);
+
+        let paid = ask(&site, Method::Post, "/pay/x", "c1").await;
+
+        assert_eq!(status(&paid), 502);
+        assert_eq!(ran(&site, "c1"), 1);
+    });
+}
+
+#[test]
+fn a_request_that_hangs_is_answered_at_its_routes_timeout() {
+    task::block_on(async {
+        let site = start("hangs").await;
+        site.servers[1].set_fault(UpstreamFault::Hangs);
+
+        let began = Instant::now();
+        let paid = ask(&site, Method::Post, "/pay/x", "d1").await;
+
+        assert_eq!(status(&paid), 504);
+        assert!(
+            began.elapsed() < Duration::from_millis(2_000),
+            "{:?}",
+            began.elapsed()
+        );
+    });
+}
+
+#[test]
+fn keys_and_routes_are_served_while_the_store_is_down() {
+    task::block_on(async {
+        let site = start("outage").await;
+        site.store.set_fault(StoreFault::Silent);
+        task::sleep(Duration::from_secs(6)).await;
+
+        let read = ask(&site, Method::Get, "/read/x", "e1").await;
+        let paid = ask(&site, Method::Post, "/pay/x", "e2").await;
+
+        assert_eq!([status(&read), status(&paid)], [200, 200]);
+    });
+}
+
+#[test]
+fn a_stop_cuts_nothing_and_late_requests_are_refused_as_not_run() {
+    task::block_on(async {
+        let mut site = start("stop").await;
+        site.servers[1].set_fault(UpstreamFault::Slow(900));
+        let callers = site.callers;
+        let under_way =
+            task::spawn(async move { send(callers, Method::Post, "/pay/x", "f1").await });
+        task::sleep(Duration::from_millis(100)).await;
+
+        signal(&site, Signal::TERM);
+        task::sleep(Duration::from_millis(200)).await;
+        let ready = send(site.ready, Method::Get, "/ready", "f2").await;
+        let early = ask(&site, Method::Post, "/pay/x", "f3").await;
+        task::sleep(Duration::from_millis(1_700)).await;
+        let late = ask(&site, Method::Post, "/pay/x", "f4").await;
+        let under_way = under_way.await;
+        let ended = site.child.wait().unwrap();
+
+        assert_eq!(
+            [
+                status(&under_way),
+                status(&ready),
+                status(&early),
+                status(&late)
+            ],
+            [200, 503, 200, 503]
+        );
+        assert!(late.unwrap().header("Retry-After").is_some());
+        assert_eq!(ran(&site, "f4"), 0);
+        assert!(ended.success());
+    });
+}
+
+#[test]
+fn everything_wrong_in_the_settings_is_told_before_the_end() {
+    let folder = std::env::temp_dir().join(format!("amaranthshunt-wrong-{}", std::process::id()));
+    let address = free_address();
+    let text = settings(address, address, address)
+        .replace("Node =", "Name =")
+        .replace("GraceS=6", "GraceS=?");
+
+    let output = spawn(&folder, &text).wait_with_output().unwrap();
+
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    let _ = std::fs::remove_dir_all(&folder);
+    assert!(!output.status.success());
+    assert!(told.contains("Node") && told.contains("GraceS"), "{told}");
+}
+
+#[test]
+fn a_short_soak_breaks_no_promise() {
+    let played = task::block_on(play(
+        Path::new(PROGRAM),
+        7,
+        Duration::from_secs(6),
+        Size::Small,
+    ));
+
+    let report = played.unwrap();
+    assert!(report.is_clean(), "{report}");
+}
