--- a/crates/support/src/deployment.rs
+++ b/crates/support/src/deployment.rs
@@ -1,10 +1,10 @@
 //! Real host processes and stand-ins on loopback.
 
-use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitCode, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use amaranthshunt_clients::{HostEntry, HttpClient, StoreClient};
@@ -18,7 +18,6 @@
 
 use crate::backend::{BackendOptions, BackendStandIn};
 use crate::journal::Journal;
-use crate::lock::lock;
 use crate::metrics::MetricsStandIn;
 use crate::store::StoreStandIn;
 
@@ -128,24 +127,17 @@
     Some(amaranthshunt_host::run(&rest))
 }
 
-/// Ports that this process has handed out.
-static PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+/// The next port that this process hands out; below those that systems give to clients.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
 
 /// An address on loopback that nobody listens on, or is going to but for its receiver.
 ///
-/// A port that is found free and bound later can be taken in between, by another deployment or
-/// as the near end of an outgoing connection. Neither uses the loopback address of this process,
-/// and a port of it is handed out once.
+/// A port that is looked for by binding it, let go and bound later can be taken in between, by
+/// another deployment, as the near end of an outgoing connection, or by the next look. Nobody
+/// else uses the loopback address of this process, and a port of it is handed out once.
 pub fn free_address() -> SocketAddr {
-    let own = process_loopback(std::process::id());
-    loop {
-        let bound = TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr());
-        let address = bound.unwrap_or_else(|error| panic!("no free port: {error}"));
-        let mut ports = lock(&PORTS);
-        if ports.insert(address.port()) {
-            return address;
-        }
-    }
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from((process_loopback(std::process::id()), port))
 }
 
 /// The loopback address that belongs to a process: 22 bits are the process's number.
