--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -7,6 +7,7 @@
 mod moves;
 mod order;
 mod span;
+mod spread;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -4,19 +4,22 @@
 //! hosts freeze, die, and lose the store, each other or servers; servers die and come back under
 //! the same identifier. After each step, no key may be held by two servers that are up.
 
+mod backend;
+mod faults;
+mod hosts;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{
-    Granter, GranterTiming, Order, OrderReply, Placement, Servers, World,
-};
+use amaranthshunt_core::front::{Granter, GranterTiming, Order, OrderReply, Placement, Servers};
 use amaranthshunt_core::ids::CallId;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::fixture::{KEYED, config, server};
+use crate::fixture::KEYED;
+use backend::Backend;
 
 /// Milliseconds of one step.
 const STEP: u64 = 10;
@@ -33,72 +36,6 @@
     tidy: Duration::from_millis(3_000),
 };
 
-#[derive(Clone, Debug)]
-struct Hold {
-    from: u16,
-    to: u16,
-    fence: u64,
-    until: u64,
-}
-
-/// A server that holds keys.
-#[derive(Debug)]
-struct Backend {
-    id: Arc<str>,
-    up: bool,
-    born: u64,
-    back_at: u64,
-    draining: bool,
-    holds: Vec<Hold>,
-    seen: Vec<(u16, u16, u64)>,
-}
-
-impl Backend {
-    fn grant(&mut self, from: u16, to: u16, fence: u64, until: u64) -> bool {
-        let newer = self
-            .seen
-            .iter()
-            .any(|(a, b, seen)| *a <= to && from <= *b && *seen > fence);
-        if newer {
-            return false;
-        }
-        self.seen.retain(|(a, b, _)| *a < from || *b > to);
-        self.seen.push((from, to, fence));
-        self.cut(from, to, fence);
-        self.holds.push(Hold {
-            from,
-            to,
-            fence,
-            until,
-        });
-        true
-    }
-
-    /// Takes keys out of every hold.
-    fn cut(&mut self, from: u16, to: u16, fence: u64) {
-        let mut kept = Vec::new();
-        for hold in self.holds.drain(..) {
-            if hold.to < from || to < hold.from || hold.fence > fence {
-                kept.push(hold);
-                continue;
-            }
-            if hold.from < from {
-                kept.push(Hold {
-                    to: from - 1,
-                    ..hold.clone()
-                });
-            }
-            if to < hold.to {
-                kept.push(Hold {
-                    from: to + 1,
-                    ..hold
-                });
-            }
-        }
-        self.holds = kept;
-    }
-}
-
 /// An entry host.
 #[derive(Debug)]
 struct Entry {
@@ -236,19 +173,6 @@
             .entries
             .iter()
             .filter_map(|entry| entry.granter.as_ref());
-        if std::env::var("GRANT_SHOW").is_ok() {
-            for entry in &self.entries {
-                println!(
-                    "HOST up {} frozen {} heard {} followed {} granter {:?} write {}",
-                    entry.up,
-                    entry.frozen_until,
-                    entry.heard,
-                    entry.followed,
-                    entry.granter.as_ref().map(Granter::term),
-                    entry.write.is_some()
-                );
-            }
-        }
         let Some(granter) = granters.max_by_key(|granter| granter.term()) else {
             return 65_536;
         };
@@ -270,17 +194,6 @@
                 })
             });
             if !held {
-                if std::env::var("GRANT_SHOW").is_ok() {
-                    println!("NOT HELD {span:?} at {}", self.now);
-                    let text = format!("{granter:?}");
-                    let at = text
-                        .find(&format!("Span {{ from: {}, to: {}", span.from, span.to))
-                        .unwrap_or(0);
-                    println!("{}", &text[at..(at + 700).min(text.len())]);
-                    for backend in &self.backends {
-                        println!("  {} up {} {:?}", backend.id, backend.up, backend.holds);
-                    }
-                }
                 missing += u32::from(span.to) - u32::from(span.from) + 1;
             }
         }
@@ -340,111 +253,6 @@
         }
     }
 
-    fn break_something(&mut self) {
-        if !self.rng.random_bool(0.008) {
-            return;
-        }
-        let host = self.rng.random_range(0..self.entries.len());
-        let other = self.rng.random_range(0..self.entries.len());
-        let index = self.rng.random_range(0..self.backends.len());
-        let span = self.rng.random_range(200..6_000);
-        match self.rng.random_range(0..12) {
-            0 => self.entries[host].frozen_until = self.now + span,
-            1 => {
-                let entry = &mut self.entries[host];
-                entry.up = false;
-                entry.granter = None;
-                entry.write = None;
-                entry.back_at = self.now + span / 4;
-            }
-            2 => self.entries[host].store = !self.entries[host].store,
-            3 => self.store_up = !self.store_up,
-            4 => {
-                self.cut_hosts.insert((host, other));
-                self.cut_hosts.insert((other, host));
-            }
-            5 => self.cut_hosts.clear(),
-            6 => {
-                self.cut_servers.insert((host, index));
-            }
-            7 => self.cut_servers.clear(),
-            8 => {
-                let backend = &mut self.backends[index];
-                backend.up = false;
-                backend.holds.clear();
-                backend.seen.clear();
-                backend.back_at = self.now + span;
-                self.tell_entries();
-            }
-            9 => {
-                self.backends[index].draining = !self.backends[index].draining;
-                self.tell_entries();
-            }
-            10 => {
-                for entry in &mut self.entries {
-                    entry.store = true;
-                }
-            }
-            _ => {
-                let service = Arc::from(KEYED);
-                let now = self.time();
-                let hot: Vec<(u16, u32)> = (0..30)
-                    .map(|key| (index as u16 * 1_000 + key, 20))
-                    .collect();
-                for entry in &mut self.entries {
-                    if let Some(granter) = &mut entry.granter {
-                        granter.heat(now, &service, hot.clone());
-                    }
-                }
-            }
-        }
-    }
-
-    fn revive(&mut self) {
-        for host in 0..self.entries.len() {
-            let entry = &mut self.entries[host];
-            if !entry.up && entry.back_at <= self.now {
-                entry.up = true;
-                entry.heard = self.now;
-                self.read_entries(host);
-            }
-        }
-        let mut changed = false;
-        for backend in &mut self.backends {
-            if !backend.up && backend.back_at <= self.now {
-                backend.up = true;
-                backend.draining = false;
-                backend.born += 1;
-                changed = true;
-            }
-        }
-        if changed {
-            self.tell_entries();
-        }
-    }
-
-    /// Tells every host of the servers, some time later.
-    fn tell_entries(&mut self) {
-        for host in 0..self.entries.len() {
-            let after = self.rng.random_range(100..2_500);
-            self.push(after, Delivery::Entries { host });
-        }
-    }
-
-    fn read_entries(&mut self, host: usize) {
-        let now = self.time();
-        for backend in &self.backends {
-            let servers = &mut self.entries[host].servers;
-            if backend.up {
-                let mut entry = server(&backend.id, KEYED, "r/a", backend.born);
-                entry.draining = backend.draining;
-                servers.learn(now, entry, None, 0.0);
-            } else if let Some(key) = servers.find(&backend.id) {
-                servers.remove(key);
-            }
-        }
-    }
-
     fn is_frozen(&self, host: usize) -> bool {
         let entry = &self.entries[host];
         !entry.up || entry.frozen_until > self.now
@@ -655,177 +463,6 @@
         }
     }
 
-    fn reaches_store(&self, host: usize) -> bool {
-        self.store_up && self.entries[host].store
-    }
-
-    fn hears(&self, host: usize, other: usize) -> bool {
-        !self.cut_hosts.contains(&(host, other)) && !self.is_frozen(host) && !self.is_frozen(other)
-    }
-
-    /// What one host does in a step.
-    fn act(&mut self, host: usize) {
-        if self.is_frozen(host) {
-            return;
-        }
-        self.write(host);
-        if self.entries[host].granter.is_some() {
-            self.confirm(host);
-            self.grant(host);
-        } else {
-            self.stand_by(host);
-        }
-    }
-
-    fn confirm(&mut self, host: usize) {
-        let term = self.entries[host].granter.as_ref().map_or(0, Granter::term);
-        if !self.now.is_multiple_of(500) {
-            return;
-        }
-        let mut echoes = 1;
-        for other in 0..self.entries.len() {
-            if other != host && self.hears(host, other) {
-                let entry = &mut self.entries[other];
-                if entry.granter.is_none() && entry.followed <= term {
-                    entry.followed = term;
-                    entry.heard = self.now;
-                    echoes += 1;
-                }
-            }
-        }
-        let now = self.time();
-        if echoes * 2 > self.entries.len() {
-            self.entries[host].granter.as_mut().unwrap().confirm(now);
-            self.entries[host].granter.as_mut().unwrap().follow(now);
-        }
-        if self.reaches_store(host) {
-            let current = self
-                .record
-                .as_ref()
-                .is_some_and(|(_, record)| record.term == term);
-            if current {
-                self.entries[host].granter.as_mut().unwrap().confirm(now);
-            } else {
-                self.entries[host].granter = None;
-                self.entries[host].write = None;
-                self.entries[host].heard = self.now;
-            }
-        }
-    }
-
-    fn record_revision(&self) -> u64 {
-        self.record.as_ref().map_or(0, |(revision, _)| *revision)
-    }
-
-    fn stand_by(&mut self, host: usize) {
-        let silent = self.now - self.entries[host].heard;
-        if silent < SILENCE || !self.reaches_store(host) {
-            self.entries[host].candidate_at = 0;
-            return;
-        }
-        if self.entries[host].candidate_at == 0 {
-            self.entries[host].candidate_at = self.now + self.rng.random_range(0..300);
-            self.entries[host].candidate_for = self.record_revision();
-        }
-        if self.now < self.entries[host].candidate_at {
-            return;
-        }
-        self.entries[host].candidate_at = 0;
-        if self.entries[host].candidate_for != self.record_revision() {
-            self.entries[host].heard = self.now;
-            return;
-        }
-        let seen = self.record.clone();
-        let (term, version, services) = seen.map_or((0, 0, BTreeMap::new()), |(_, record)| {
-            (record.term, record.version, record.services)
-        });
-        let record = Placement {
-            term: term + 1,
-            version: version + 1,
-            holder: format!("h{host}"),
-            address: ([127, 0, 0, 1], 1).into(),
-            services,
-        };
-        let revision = self.record.as_ref().map_or(1, |(revision, _)| revision + 1);
-        self.record = Some((revision, record.clone()));
-        let now = self.time();
-        let entry = &mut self.entries[host];
-        entry.revision = revision;
-        entry.followed = record.term;
-        entry.granter = Some(Granter::new(now, &record, TIMING));
-    }
-
-    fn write(&mut self, host: usize) {
-        let Some((placement, tried)) = self.entries[host].write.clone() else {
-            return;
-        };
-        if self.now < tried + 300 || !self.reaches_store(host) {
-            return;
-        }
-        self.entries[host].write = Some((placement.clone(), self.now));
-        let (revision, kept) = self.record.clone().unwrap();
-        let done = kept == placement;
-        if !done && revision != self.entries[host].revision {
-            self.entries[host].granter = None;
-            self.entries[host].write = None;
-            return;
-        }
-        if !done {
-            self.record = Some((revision + 1, placement.clone()));
-        }
-        // The answer may be lost; the same call is made again then.
-        if !self.loses(0.3) {
-            let entry = &mut self.entries[host];
-            entry.revision = self.record.as_ref().unwrap().0;
-            entry.write = None;
-            entry.granter.as_mut().unwrap().recorded(placement.version);
-        }
-    }
-
-    fn grant(&mut self, host: usize) {
-        let now = self.time();
-        let config = config(1, Vec::new());
-        let evacuated = BTreeSet::new();
-        let usual = BTreeMap::new();
-        let entry = &mut self.entries[host];
-        let Some(granter) = &mut entry.granter else {
-            return;
-        };
-        let world = World {
-            servers: &entry.servers,
-            usual: &usual,
-            config: &config,
-            evacuated: &evacuated,
-        };
-        let orders = granter.advance(now, world);
-        for order in orders {
-            let (call, fence) = match &order {
-                Order::Grant { call, fence, .. } | Order::Release { call, fence, .. } => {
-                    (*call, *fence)
-                }
-                Order::Write(placement) => {
-                    self.entries[host].write = Some((placement.clone(), 0));
-                    continue;
-                }
-                Order::Log(_) => continue,
-            };
-            let sent = self.now;
-            self.open.insert((host, fence >> 24, call.0), (sent, false));
-            if !self.loses(0.03) {
-                let after = self.rng.random_range(1..60);
-                self.push(
-                    after,
-                    Delivery::Order {
-                        host,
-                        order,
-                        sent,
-                        late: None,
-                    },
-                );
-            }
-        }
-    }
-
     /// Finds keys that two servers hold.
     fn check(&mut self) {
         for backend in &mut self.backends {
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -7,11 +7,14 @@
     ($($(#[$doc:meta])* $name:ident = $text:literal;)*) => {
         /// Counts since the start of the process.
         #[derive(Debug, Default)]
-        pub(crate) struct Counters {
+        pub struct Counters {
             $($(#[$doc])* pub(crate) $name: Counter,)*
         }
 
         impl Counters {
+            /// The name of every counter.
+            pub const NAMES: &'static [&'static str] = &[$(concat!("amaranthshunt_", $text),)*];
+
             /// Every counter in the Prometheus text format.
             pub(crate) fn to_text(&self) -> String {
                 let mut text = String::new();
@@ -49,7 +52,7 @@
 
 /// A number that only grows.
 #[derive(Debug, Default)]
-pub(crate) struct Counter(AtomicU64);
+pub struct Counter(AtomicU64);
 
 impl Counter {
     /// Adds one.
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -1,5 +1,8 @@
 //! The one host that grants keys, and how the others follow and replace it.
 
+mod leading;
+mod record;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,7 +14,6 @@
 use amaranthshunt_core::ids::CallId;
 use amaranthshunt_core::log::Code;
 use amaranthshunt_platform as platform;
-use async_std::channel::{Sender, TrySendError};
 use async_std::task;
 use rand::Rng;
 
@@ -22,11 +24,10 @@
 use crate::messages::{Beat, Body, Heat, Report, TableMessage};
 use crate::orders::{Call, OrderClient};
 use crate::peers::{self, Ended};
-use crate::store::StoreError;
 use crate::watch::{KINDS, list};
+pub(crate) use leading::Leading;
+use record::{Written, create, first_record, read_record, replace, take};
 
-/// The name of the one record of its kind.
-const RECORD: &str = "main";
 /// How long a grant holds: a lost server's keys are elsewhere after it, and a lost granter is
 /// replaced well within it.
 const HOLD: Duration = Duration::from_millis(4_000);
@@ -57,117 +58,6 @@
 /// Longest time before keys are placed the first time.
 const FIRST_PLACING: Duration = Duration::from_millis(5_000);
 
-/// What the granting host keeps beside the granter itself.
-pub(crate) struct Leading {
-    granter: Mutex<Granter>,
-    followers: Mutex<BTreeMap<String, Follower>>,
-    orders: OrderClient,
-    /// Every host that was ever heard of.
-    members: Mutex<BTreeSet<String>>,
-    revision: Mutex<u64>,
-    ended: AtomicBool,
-    started: Time,
-}
-
-struct Follower {
-    /// Tells apart connections of one host.
-    number: u64,
-    sender: Sender<Body>,
-    echoed: Time,
-}
-
-impl Leading {
-    /// Takes in a host that follows; returns the number of its connection.
-    pub(crate) fn join(&self, name: &str, sender: Sender<Body>) -> u64 {
-        let table = TableMessage::from(lock(&self.granter).table());
-        push(name, &sender, Body::Table(table));
-        lock(&self.members).insert(name.to_owned());
-        let mut followers = lock(&self.followers);
-        let number = followers
-            .get(name)
-            .map_or(0, |follower| follower.number + 1);
-        let follower = Follower {
-            number,
-            sender,
-            echoed: Time::ZERO,
-        };
-        followers.insert(name.to_owned(), follower);
-        number
-    }
-
-    /// Sends the whole table to a host that has missed a change.
-    pub(crate) fn send_table(&self, name: &str) {
-        let table = TableMessage::from(lock(&self.granter).table());
-        if let Some(follower) = lock(&self.followers).get(name) {
-            push(name, &follower.sender, Body::Table(table));
-        }
-    }
-
-    /// Takes in what a following host saw.
-    pub(crate) fn report(&self, name: &str, report: Report) {
-        if let Some(follower) = lock(&self.followers).get_mut(name) {
-            follower.echoed = Time::from_micros(report.echo);
-        }
-        let mut granter = lock(&self.granter);
-        let now = clock::now();
-        if report.term > granter.term() {
-            self.ended.store(true, Ordering::Relaxed);
-        }
-        for heat in report.heat {
-            let service = Arc::from(heat.service.as_str());
-            let counts = heat.keys.iter().zip(&heat.counts);
-            granter.heat(
-                now,
-                &service,
-                counts.map(|(key, count)| (*key as u16, *count)),
-            );
-        }
-        for missing in report.missing {
-            granter.missing(now, &missing.service, missing.key as u16, &missing.server);
-        }
-    }
-
-    /// Takes in that a host no longer follows on a connection.
-    pub(crate) fn leave(&self, name: &str, number: u64) {
-        let mut followers = lock(&self.followers);
-        if followers
-            .get(name)
-            .is_some_and(|follower| follower.number == number)
-        {
-            followers.remove(name);
-        }
-    }
-
-    fn send_all(&self, body: &Body) {
-        for (name, follower) in lock(&self.followers).iter() {
-            push(name, &follower.sender, body.clone());
-        }
-    }
-
-    /// When more than half of the hosts, this one included, last knew of no other granter.
-    fn majority_echo(&self, hosts: usize) -> Option<Time> {
-        let followers = lock(&self.followers);
-        let mut echoes: Vec<Time> = followers.values().map(|follower| follower.echoed).collect();
-        echoes.sort();
-        let needed = hosts / 2;
-        match needed {
-            0 => Some(clock::now()),
-            needed => echoes.iter().rev().nth(needed - 1).copied(),
-        }
-    }
-
-    fn is_ended(&self) -> bool {
-        self.ended.load(Ordering::Relaxed)
-    }
-}
-
-fn push(name: &str, sender: &Sender<Body>, body: Body) {
-    if let Err(TrySendError::Full(_)) = sender.try_send(body) {
-        // The next beat or table makes good for a message that finds its queue full.
-        log::warn!("the queue to {name} is full");
-    }
-}
-
 /// Puts the host on record, then follows or is the granting host until the task is ended.
 pub(crate) async fn run(front: Arc<Front>) {
     let mut hosts = register(&front).await;
@@ -274,96 +164,6 @@
     }
 }
 
-async fn read_record(front: &Front) -> Result<Option<(Placement, u64)>, StoreError> {
-    let path = platform::object_path(platform::PLACEMENTS, RECORD);
-    front.counters.store_calls.add();
-    let reply = front.store.call("GET", &path, &[], Duration::ZERO).await?;
-    if reply.status == 404 {
-        return Ok(None);
-    }
-    parse_record(&reply.body)
-        .map(Some)
-        .map_err(StoreError::Unknown)
-}
-
-fn parse_record(body: &[u8]) -> Result<(Placement, u64), String> {
-    let object = platform::read_object(body)?;
-    let record = platform::read_placement(&object.spec)?;
-    Ok((record, object.revision))
-}
-
-fn first_record(front: &Front) -> Placement {
-    Placement {
-        term: 1,
-        version: 1,
-        holder: front.settings.name.clone(),
-        address: front.settings.peers(),
-        services: BTreeMap::new(),
-    }
-}
-
-async fn create(front: &Front) -> Option<u64> {
-    let record = first_record(front);
-    let path = platform::list_path(platform::PLACEMENTS, None);
-    let body = platform::create_body(RECORD, &platform::write_placement(&record));
-    front.counters.store_calls.add();
-    match front.store.call("POST", &path, &body, Duration::ZERO).await {
-        Ok(reply) if reply.status < 300 => Some(platform::read_object(&reply.body).ok()?.revision),
-        Ok(_) => None,
-        Err(error) => {
-            log::warn!("the record of grants cannot be created: {error}");
-            task::sleep(STORE_PAUSE).await;
-            None
-        }
-    }
-}
-
-/// Puts this host's name on the record, if nobody else has done so since it was read.
-async fn take(front: &Front, seen: &Placement, revision: u64) -> Option<(Placement, u64)> {
-    let record = Placement {
-        term: seen.term + 1,
-        version: seen.version + 1,
-        holder: front.settings.name.clone(),
-        address: front.settings.peers(),
-        services: seen.services.clone(),
-    };
-    match replace(front, &record, revision).await {
-        Written::Done(revision) => Some((record, revision)),
-        Written::Other => None,
-        Written::Failed(error) => {
-            log::warn!("the record of grants cannot be taken over: {error}");
-            task::sleep(STORE_PAUSE).await;
-            None
-        }
-    }
-}
-
-enum Written {
-    /// The record has this revision now.
-    Done(u64),
-    /// Somebody else has written it.
-    Other,
-    /// It was not written, or nothing is known of it.
-    Failed(String),
-}
-
-async fn replace(front: &Front, record: &Placement, revision: u64) -> Written {
-    let path = platform::object_path(platform::PLACEMENTS, RECORD);
-    let spec = platform::write_placement(record);
-    let body = platform::replace_body(RECORD, revision, &spec);
-    front.counters.store_calls.add();
-    let reply = match front.store.call("PUT", &path, &body, Duration::ZERO).await {
-        Ok(reply) => reply,
-        Err(error) => return Written::Failed(format!("{error}")),
-    };
-    match parse_record(&reply.body) {
-        // A conflict with this very record tells of an earlier call whose answer was lost.
-        Ok((kept, revision)) if kept == *record => Written::Done(revision),
-        Ok(_) => Written::Other,
-        Err(text) => Written::Failed(format!("{}: {text}", reply.status)),
-    }
-}
-
 /// The table that a record amounts to, for a host that cannot hear the granting one.
 fn table_of(record: &Placement) -> Table {
     let spans = record.services.iter().map(|(service, spans)| {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,3 +25,4 @@
 mod watch;
 
 pub use command::run;
+pub use counters::{Counter, Counters};
