--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -16,7 +16,7 @@
 use crate::http::{Connection, HttpError, RequestHead, within};
 use crate::proxy::{Request, serve};
 
-/// Time between two looks at whether the host is leaving, on an idle connection.
+/// Time between two looks at whether the host is leaving.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time for which a caller's body may take, where the caller states no deadline.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
@@ -195,21 +195,30 @@
     connection: &mut Connection,
     request: Arc<Request>,
 ) -> Option<Answer> {
-    let served = Box::pin(serve(front.clone(), request.clone()));
-    let closed = Box::pin(connection.closed());
-    match select(served, closed).await {
-        Either::Left((answer, _)) => {
+    let mut served = Box::pin(serve(front.clone(), request.clone()));
+    let mut closed = Box::pin(connection.closed());
+    let answer = loop {
+        let wait = select(&mut served, &mut closed);
+        match async_std::future::timeout(LOOK, wait).await {
+            Ok(Either::Left((answer, _))) => break Some(answer),
+            Ok(Either::Right(_)) => break None,
+            Err(_) if front.ends() => {
+                break Some(Answer::own(504, None, "unknown: the host ends"));
+            }
+            Err(_) => {}
+        }
+    };
+    match &answer {
+        Some(answer) => {
             let took = clock::now().since(request.received);
-            tell(front, &request.id, &request.plan.route.name, &answer, took);
-            Some(answer)
+            tell(front, &request.id, &request.plan.route.name, answer, took);
         }
-        Either::Right(((), served)) => {
-            if !request.plan.route.idempotent {
-                task::spawn(served);
-            }
-            None
+        None if !request.plan.route.idempotent => {
+            task::spawn(served);
         }
+        None => {}
     }
+    answer
 }
 
 /// Counts an answer, and writes a line for each that is no plain success.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -25,6 +25,9 @@
 /// Time after a request to stop in which requests are still sent on: what is sent later could be
 /// at work when the process ends.
 const LAST_REQUESTS: Duration = Duration::from_millis(2_700);
+/// Time before the end of the grace at which what is under way is answered: the last sixth of
+/// the shortest grace, in which a server at work excuses no answer.
+const LAST_ANSWERS: Duration = Duration::from_millis(900);
 /// Time for which a watch may miss a change that the granting host has seen: both read the store
 /// a moment apart.
 const BEHIND: Duration = Duration::from_millis(700);
@@ -131,6 +134,13 @@
         self.is_leaving() && clock::now().since(since) >= LAST_REQUESTS
     }
 
+    /// Whether the process is about to end, so that whatever is under way has to be answered.
+    pub(crate) fn ends(&self) -> bool {
+        let since = Time::from_micros(self.leaving_since.load(Ordering::Relaxed));
+        let span = self.settings.grace.saturating_sub(LAST_ANSWERS);
+        self.is_leaving() && clock::now().since(since) >= span
+    }
+
     /// Notes how far a kind is known, and the last change that was seen of it.
     pub(crate) fn note_change(&self, kind: Kind, complete: u64, change: Option<u64>) {
         let mut changes = lock(&self.changes);
--- a/crates/host/tests/platform.rs
+++ b/crates/host/tests/platform.rs
@@ -313,6 +313,33 @@
     });
 }
 
+#[test]
+fn a_request_at_a_silent_server_is_answered_before_the_host_ends() {
+    task::block_on(async {
+        let mut site = start("silent").await;
+        let mut patient = config(9, "/pay/");
+        patient["Routes"]["pay"]["TimeoutMs"] = json!(20_000);
+        site.store.put("config", "main", patient, Value::Null);
+        task::sleep(Duration::from_millis(1_500)).await;
+        site.servers[1].set_fault(UpstreamFault::Hangs);
+        let url = Url::parse(&format!("http://{}/pay/x", site.callers)).unwrap();
+        let mut request = Request::new(Method::Post, url);
+        request.insert_header("Host", "shop");
+        request.insert_header("Request-Id", "g1");
+        request.insert_header("Request-Deadline-Ms", "15000");
+        let stream = TcpStream::connect(site.callers).await.unwrap();
+        let under_way = task::spawn(async move { async_h1::connect(stream, request).await.ok() });
+        task::sleep(Duration::from_millis(300)).await;
+
+        signal(&site, Signal::TERM);
+        let under_way = under_way.await;
+        let ended = site.child.wait().unwrap();
+
+        assert_eq!(status(&under_way), 504);
+        assert!(ended.success());
+    });
+}
+
 #[test]
 fn everything_wrong_in_the_settings_is_told_before_the_end() {
     let folder = std::env::temp_dir().join(format!("amaranthshunt-wrong-{}", std::process::id()));
