Granting copies its table only when it changed; dead and needless results go

Cause, from reading the diff: the granting host cloned the whole table each 40 ms to compare its version; Granter::record_failed had no caller (a write is repeated by its task until it ends); is_open could not fail but returned a Result. Behaviour stays.

--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -332,12 +332,6 @@
         self.writing = false;
     }
 
-    /// Takes in that the record could not be written; it is tried again.
-    pub fn record_failed(&mut self) {
-        self.writing = false;
-        self.dirty = true;
-    }
-
     fn record(&mut self, now: Time) {
         if self.writing || !(self.dirty || self.has_ended_moves(now)) {
             return;
--- a/crates/core/src/front/router/choice.rs
+++ b/crates/core/src/front/router/choice.rs
@@ -127,8 +127,7 @@
         let id = self.table.owner(&plan.service, key).ok_or(no_owner)?;
         let server = self.servers.find(id).ok_or(no_owner)?;
         let service = self.service(&plan.service);
-        let open = self.is_open(now, server, plan)?;
-        if !open {
+        if !self.is_open(now, server, plan) {
             return Err(no_owner);
         }
         self.has_room(now, server, plan, service.as_ref())
@@ -136,18 +135,18 @@
     }
 
     /// Whether a server may get requests of a route at all.
-    fn is_open(&self, now: Time, server: ServerKey, plan: &Plan) -> Result<bool, Refused> {
+    fn is_open(&self, now: Time, server: ServerKey, plan: &Plan) -> bool {
         let Some(standing) = self.servers.get(server) else {
-            return Ok(false);
+            return false;
         };
         let entry = &standing.entry;
         let home = self.is_home(&plan.route, &entry.domain);
-        Ok(entry.service == plan.service
+        entry.service == plan.service
             && home
             && !entry.draining
             && !self.leaving.contains_key(&entry.id)
             && !self.evacuated.contains(&entry.domain)
-            && standing.shunned_until <= now)
+            && standing.shunned_until <= now
     }
 
     fn is_home(&self, route: &Route, domain: &str) -> bool {
@@ -197,7 +196,7 @@
         let service = self.service(&plan.service);
         let mut servers: Vec<(Duration, ServerKey)> = Vec::new();
         for server in self.servers.of(&plan.service) {
-            let open = self.is_open(now, *server, plan)? && !avoided.contains(server);
+            let open = self.is_open(now, *server, plan) && !avoided.contains(server);
             if let Some(standing) = self.servers.get(*server).filter(|_| open) {
                 servers.push((self.cost(now, standing), *server));
             }
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -293,8 +293,12 @@
     for order in orders {
         execute(front, leading, order);
     }
-    let table = lock(&leading.granter).table().clone();
-    if table.version != published.version {
+    let changed = {
+        let granter = lock(&leading.granter);
+        let table = granter.table();
+        (table.version != published.version).then(|| table.clone())
+    };
+    if let Some(table) = changed {
         let changes = table.changes_since(published);
         let message = TableMessage::new(table.term, table.version, &changes);
         leading.send_all(&Body::Changes(message));
