The granting host passes on what the store tells it; others watch only when it does not

Cause: every host kept three watches.

Change: changes of servers and evacuations go over the star of the granting host, with the revisions that they lie between and for how long lapsed entries may return; of a configuration only its revision, each host reads the text itself. A beat tells for how long the store has been silent for each kind. A host whose word is older than 1.7 s, or that misses a change for 0.4 s, asks the store. One kind asks for all in an outage. Hosts on small machines let larger ones go first when the granting host is chosen. A host is better off than the granting one only when the store has answered it meanwhile.

--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -13,7 +13,7 @@
 use super::load::LoadReport;
 use super::placement::{Table, TableSpan};
 use super::retries::RetryShare;
-use super::servers::{ServerEntry, Servers};
+use super::servers::{ServerChanges, ServerEntry, Servers};
 use super::splits::Splits;
 use crate::ids::ServerKey;
 use crate::log::{Code, Record};
@@ -39,7 +39,8 @@
     evacuated: BTreeSet<String>,
     table: Table,
     hosts: usize,
-    store_back: Time,
+    /// Until when an entry that is gone from the store may yet be back.
+    returns_until: Time,
     splits: Splits,
     retries: RetryShare,
     heat: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
@@ -60,7 +61,7 @@
             evacuated: BTreeSet::new(),
             table: Table::default(),
             hosts: UNKNOWN_HOSTS,
-            store_back: Time::ZERO,
+            returns_until: Time::ZERO,
             splits: Splits::default(),
             retries,
             heat: BTreeMap::new(),
@@ -207,36 +208,66 @@
         let Some(key) = self.servers.find(id) else {
             return;
         };
-        let grace_end = self.store_back + RETURN_GRACE;
-        if grace_end > now {
+        if self.returns_until > now {
             let id = Arc::from(id);
-            self.leaving.entry(id).or_insert(grace_end);
+            self.leaving.entry(id).or_insert(self.returns_until);
             return;
         }
         self.servers.remove(key);
         self.note(Code::ServerGone, id, "its entry was removed");
     }
 
-    /// Takes in the whole list of servers.
-    pub fn replace_servers(&mut self, now: Time, entries: Vec<ServerEntry>) {
+    /// Takes in the whole list of servers; returns how it differs from what was known.
+    pub fn replace_servers(&mut self, now: Time, entries: Vec<ServerEntry>) -> ServerChanges {
         let listed: BTreeSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let known = |id: &str| {
+            let key = self.servers.find(id)?;
+            self.servers.get(key).map(|standing| &standing.entry)
+        };
+        let differs = |entry: &ServerEntry| known(&entry.id) != Some(entry);
+        let changed = entries.iter().filter(|entry| differs(entry)).cloned();
+        let changed = changed.collect();
+        let servers = self.servers.iter();
+        let removed = servers
+            .map(|(_, standing)| standing.entry.id.clone())
+            .filter(|id| !listed.contains(id));
+        let changes = ServerChanges {
+            entries: changed,
+            removed: removed.collect(),
+        };
         for entry in entries {
             self.learn_server(now, entry);
         }
-        let known = self
-            .servers
-            .iter()
-            .map(|(_, standing)| standing.entry.id.clone());
-        let lost: Vec<Arc<str>> = known.filter(|id| !listed.contains(id)).collect();
-        for id in lost {
-            self.lose_server(now, &id);
+        for id in &changes.removed {
+            self.lose_server(now, id);
         }
         self.started = true;
+        changes
+    }
+
+    /// Takes in what changed among the servers.
+    pub fn change_servers(&mut self, now: Time, changes: ServerChanges) {
+        for entry in changes.entries {
+            self.learn_server(now, entry);
+        }
+        for id in &changes.removed {
+            self.lose_server(now, id);
+        }
     }
 
     /// Takes in that the store answers again after an outage.
     pub fn store_is_back(&mut self, now: Time) {
-        self.store_back = now;
+        self.allow_returns(now, RETURN_GRACE);
+    }
+
+    /// Takes in for how long entries that are gone may yet be back.
+    pub fn allow_returns(&mut self, now: Time, left: Duration) {
+        self.returns_until = self.returns_until.max(now + left);
+    }
+
+    /// For how long entries that are gone may yet be back.
+    pub fn return_time(&self, now: Time) -> Duration {
+        self.returns_until.since(now)
     }
 
     /// Ends what only waited for time.
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -41,6 +41,22 @@
     pub born: Option<u64>,
 }
 
+/// What changed among the servers' entries between two revisions of the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServerChanges {
+    /// Entries that are new or have changed, as they are now.
+    pub entries: Vec<ServerEntry>,
+    /// Identifiers whose entries are gone.
+    pub removed: Vec<Arc<str>>,
+}
+
+impl ServerChanges {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.removed.is_empty()
+    }
+}
+
 /// One server with what this host has seen of it first hand.
 #[derive(Clone, Debug)]
 pub struct Standing {
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -6,6 +6,12 @@
 
 use super::router::RouterSettings;
 
+/// Least part of a core with which a host passes on what all hosts need; docs/CAPACITY.md.
+const RELAY_CORE: f64 = 0.2;
+/// Least link with which a host does so, in Mbit/s: a change of 300 servers goes to 60 hosts in
+/// a quarter of a second.
+const RELAY_LINK: f64 = 100.0;
+
 /// Settings of one entry host that sends requests straight to backend servers.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
@@ -27,6 +33,10 @@
     pub peer_port: u16,
     /// Where the platform's store listens.
     pub store: SocketAddr,
+    /// Its part of a core, where the platform tells it.
+    pub core_share: Option<f64>,
+    /// Its link in Mbit/s, where the platform tells it.
+    pub link_rate: Option<f64>,
     /// Time between a request to stop and the end of the process.
     pub grace: Duration,
     /// Time within which a leaving server must get no more requests.
@@ -57,6 +67,13 @@
         }
     }
 
+    /// Whether the host is too small to be the first choice for granting keys and passing on what
+    /// the store tells.
+    pub fn is_small(&self) -> bool {
+        let below = |value: Option<f64>, least| value.is_some_and(|value| value < least);
+        below(self.core_share, RELAY_CORE) || below(self.link_rate, RELAY_LINK)
+    }
+
     /// Where the host listens for other hosts.
     pub fn peers(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_port)
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod bounds;
 mod fixture;
+mod freshness;
 mod grants;
 mod routes;
 mod servers;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{FrontSettings, Router};
+use amaranthshunt_core::front::{Freshness, FrontSettings, Router};
 use amaranthshunt_core::log::{Code, Record};
 
 use amaranthshunt_platform::Kind;
@@ -28,19 +28,6 @@
 /// Time before the end of the grace at which what is under way is answered: the last sixth of
 /// the shortest grace, in which a server at work excuses no answer.
 const LAST_ANSWERS: Duration = Duration::from_millis(900);
-/// Time for which a watch may miss a change that the granting host has seen: both read the store
-/// a moment apart.
-const BEHIND: Duration = Duration::from_millis(700);
-
-/// How far a kind is known.
-#[derive(Clone, Copy, Debug, Default)]
-struct Known {
-    /// The store's revision up to which nothing is missing.
-    complete: u64,
-    /// The revision of the last change.
-    change: u64,
-}
-
 /// One entry host.
 pub(crate) struct Front {
     pub(crate) settings: FrontSettings,
@@ -52,9 +39,9 @@
     leaving: AtomicBool,
     leaving_since: AtomicU64,
     /// How far each kind is known.
-    changes: Mutex<BTreeMap<Kind, Known>>,
-    /// The same, as the granting host tells it, and since when this host is behind.
-    told_changes: Mutex<BTreeMap<Kind, (u64, Time)>>,
+    freshness: Mutex<BTreeMap<Kind, Freshness>>,
+    /// The kind that finds out for all of them whether the store answers again.
+    probe: Mutex<Option<Kind>>,
     servers_read: AtomicBool,
     evacuations_read: AtomicBool,
     under_way: AtomicUsize,
@@ -75,8 +62,8 @@
             missing: Mutex::default(),
             leaving: AtomicBool::new(false),
             leaving_since: AtomicU64::new(0),
-            changes: Mutex::default(),
-            told_changes: Mutex::default(),
+            freshness: Mutex::default(),
+            probe: Mutex::default(),
             servers_read: AtomicBool::new(false),
             evacuations_read: AtomicBool::new(false),
             under_way: AtomicUsize::new(0),
@@ -141,44 +128,31 @@
         self.is_leaving() && clock::now().since(since) >= span
     }
 
-    /// Notes how far a kind is known, and the last change that was seen of it.
-    pub(crate) fn note_change(&self, kind: Kind, complete: u64, change: Option<u64>) {
-        let mut changes = lock(&self.changes);
-        let known = changes.entry(kind).or_default();
-        known.complete = known.complete.max(complete);
-        known.change = known.change.max(change.unwrap_or_default());
+    /// How fresh a kind is.
+    pub(crate) fn freshness(&self, kind: Kind) -> Freshness {
+        lock(&self.freshness).get(kind).copied().unwrap_or_default()
     }
 
-    /// The last change that was seen of a kind; zero where none was.
-    pub(crate) fn last_change(&self, kind: Kind) -> u64 {
-        lock(&self.changes)
-            .get(kind)
-            .map_or(0, |known| known.change)
+    /// Changes what is known of how fresh a kind is.
+    pub(crate) fn refresh<T>(&self, kind: Kind, act: impl FnOnce(&mut Freshness, Time) -> T) -> T {
+        act(lock(&self.freshness).entry(kind).or_default(), clock::now())
     }
 
-    /// Takes in which change of a kind the granting host has seen last.
-    pub(crate) fn tell_change(&self, kind: Kind, revision: u64) {
-        let mut told = lock(&self.told_changes);
-        let known = told.entry(kind).or_insert((0, Time::ZERO));
-        if revision > known.0 {
-            *known = (revision, clock::now());
-        }
+    /// Whether a kind is the one that finds out if the store answers again.
+    pub(crate) fn begin_probe(&self, kind: Kind) -> bool {
+        *lock(&self.probe).get_or_insert(kind) == kind
     }
 
-    /// Whether the granting host has long seen a change of a kind that this host has not.
-    pub(crate) fn is_behind(&self, kind: Kind) -> bool {
-        let told = lock(&self.told_changes).get(kind).copied();
-        told.is_some_and(|(revision, at)| {
-            let complete = lock(&self.changes)
-                .get(kind)
-                .map_or(0, |known| known.complete);
-            revision > complete && clock::now().since(at) >= BEHIND
-        })
+    /// Leaves it to another kind to find out if the store answers again.
+    pub(crate) fn end_probe(&self, kind: Kind) {
+        lock(&self.probe).take_if(|probing| *probing == kind);
     }
 
-    /// Whether the granting host has been heard just now, by this host as its follower.
-    pub(crate) fn is_following(&self) -> bool {
-        self.leading().is_none() && clock::now().since(self.granter_heard()) < SILENCE
+    /// Whether the granting host tells this one of changes, so that it need not watch a kind.
+    pub(crate) fn is_told(&self, kind: Kind) -> bool {
+        let now = clock::now();
+        let following = self.leading().is_none() && now.since(self.granter_heard()) < SILENCE;
+        following && self.freshness(kind).is_told(now)
     }
 
     /// Begins an orderly stop.
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -53,6 +53,8 @@
 const STORE_PAUSE: Duration = Duration::from_millis(400);
 /// Longest random wait before the record is written by a host that would grant.
 const CANDIDACY: Duration = Duration::from_millis(300);
+/// Time by which small hosts let larger ones go first: a candidacy and one call to the store.
+const HEAD_START: Duration = Duration::from_millis(450);
 /// Time without a new server after which keys are placed the first time.
 const FIRST_CALM: Duration = Duration::from_millis(1_800);
 /// Longest time before keys are placed the first time.
@@ -77,7 +79,7 @@
             }
         };
         let Some((record, revision)) = record else {
-            wait_turn().await;
+            wait_turn(&front).await;
             if let Some(revision) = create(&front).await {
                 lead(&front, first_record(&front), revision, &hosts).await;
             }
@@ -107,16 +109,21 @@
             continue;
         }
         started = false;
-        wait_turn().await;
+        wait_turn(&front).await;
         if let Some((record, revision)) = take(&front, &record, revision).await {
             lead(&front, record, revision, &hosts).await;
         }
     }
 }
 
-async fn wait_turn() {
+async fn wait_turn(front: &Front) {
     let wait = rand::rng().random_range(0..CANDIDACY.as_millis() as u64);
-    task::sleep(Duration::from_millis(wait)).await;
+    let head_start = if front.settings.is_small() {
+        HEAD_START
+    } else {
+        Duration::ZERO
+    };
+    task::sleep(head_start + Duration::from_millis(wait)).await;
 }
 
 /// Whether another host hears the granting one, so that only the way there is broken.
@@ -240,7 +247,7 @@
         }
         task::sleep(TICK).await;
         if front.is_leaving() {
-            leading.send_all(&Body::Resign(true));
+            leading.send_all(Body::Resign(true));
             break;
         }
     }
@@ -301,7 +308,7 @@
     if let Some(table) = changed {
         let changes = table.changes_since(published);
         let message = TableMessage::new(table.term, table.version, &changes);
-        leading.send_all(&Body::Changes(message));
+        leading.send_all(Body::Changes(message));
         front.route(|router, _| router.set_table(table.clone()));
         *published = table;
     }
@@ -454,9 +461,16 @@
         sent: now.as_micros(),
         hosts: hosts as u32,
         store: front.store.outage().is_none(),
-        changes: KINDS.iter().map(|kind| front.last_change(kind)).collect(),
+        changes: KINDS
+            .iter()
+            .map(|kind| front.freshness(kind).change())
+            .collect(),
+        ages: KINDS
+            .iter()
+            .map(|kind| front.freshness(kind).age(now).as_millis() as u64)
+            .collect(),
     };
-    leading.send_all(&Body::Beat(beat));
+    leading.send_all(Body::Beat(beat));
 }
 
 /// Requests by key since the last call, as they are told to the granting host.
--- a/crates/front/src/granting/leading.rs
+++ b/crates/front/src/granting/leading.rs
@@ -7,10 +7,11 @@
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::Granter;
 use async_std::channel::{Sender, TrySendError};
+use bytes::Bytes;
 
 use crate::clock;
 use crate::lock::lock;
-use crate::messages::{Body, Report, TableMessage};
+use crate::messages::{Body, Report, TableMessage, frame};
 use crate::orders::OrderClient;
 
 /// What the granting host keeps beside the granter itself.
@@ -28,15 +29,15 @@
 pub(super) struct Follower {
     /// Tells apart connections of one host.
     number: u64,
-    sender: Sender<Body>,
+    sender: Sender<Bytes>,
     pub(super) echoed: Time,
 }
 
 impl Leading {
     /// Takes in a host that follows; returns the number of its connection.
-    pub(crate) fn join(&self, name: &str, sender: Sender<Body>) -> u64 {
+    pub(crate) fn join(&self, name: &str, sender: Sender<Bytes>) -> u64 {
         let table = TableMessage::from(lock(&self.granter).table());
-        push(name, &sender, Body::Table(table));
+        push(name, &sender, frame(Body::Table(table)));
         lock(&self.members).insert(name.to_owned());
         let mut followers = lock(&self.followers);
         let number = followers
@@ -55,7 +56,7 @@
     pub(crate) fn send_table(&self, name: &str) {
         let table = TableMessage::from(lock(&self.granter).table());
         if let Some(follower) = lock(&self.followers).get(name) {
-            push(name, &follower.sender, Body::Table(table));
+            push(name, &follower.sender, frame(Body::Table(table)));
         }
     }
 
@@ -94,9 +95,11 @@
         }
     }
 
-    pub(super) fn send_all(&self, body: &Body) {
+    /// Sends a message to every host that follows.
+    pub(crate) fn send_all(&self, body: Body) {
+        let bytes = frame(body);
         for (name, follower) in lock(&self.followers).iter() {
-            push(name, &follower.sender, body.clone());
+            push(name, &follower.sender, bytes.clone());
         }
     }
 
@@ -117,8 +120,8 @@
     }
 }
 
-fn push(name: &str, sender: &Sender<Body>, body: Body) {
-    if let Err(TrySendError::Full(_)) = sender.try_send(body) {
+fn push(name: &str, sender: &Sender<Bytes>, bytes: Bytes) {
+    if let Err(TrySendError::Full(_)) = sender.try_send(bytes) {
         // The next beat or table makes good for a message that finds its queue full.
         log::warn!("the queue to {name} is full");
     }
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -4,8 +4,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use amaranthshunt_core::front::{Table, TableSpan};
+use amaranthshunt_core::front::{ServerEntry, Table, TableSpan};
 use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -19,7 +20,7 @@
 /// Any message.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(crate) body: Option<Body>,
 }
 
@@ -53,6 +54,9 @@
     /// A following host has missed a change and needs the whole table.
     #[prost(bool, tag = "9")]
     TableLost(bool),
+    /// What the store has told the granting host.
+    #[prost(message, tag = "10")]
+    News(News),
 }
 
 /// Who a following host is.
@@ -80,6 +84,86 @@
     /// [`crate::watch::KINDS`].
     #[prost(uint64, repeated, tag = "5")]
     pub(crate) changes: Vec<u64>,
+    /// For how long the store has told the sender nothing of each kind, in milliseconds.
+    #[prost(uint64, repeated, tag = "6")]
+    pub(crate) ages: Vec<u64>,
+}
+
+/// Changes of one kind of store object between two revisions.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct News {
+    /// The index of the kind in [`crate::watch::KINDS`].
+    #[prost(uint32, tag = "1")]
+    pub(crate) kind: u32,
+    #[prost(uint64, tag = "2")]
+    pub(crate) from: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) to: u64,
+    /// Entries of servers that are new or have changed.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) entries: Vec<EntryMessage>,
+    /// Servers whose entries are gone.
+    #[prost(string, repeated, tag = "5")]
+    pub(crate) removed: Vec<String>,
+    /// All failure domains that operators have taken out.
+    #[prost(string, repeated, tag = "6")]
+    pub(crate) domains: Vec<String>,
+    /// For how long entries that are gone may yet be back, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub(crate) returns: u64,
+}
+
+/// What a server says of itself.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct EntryMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) id: String,
+    #[prost(string, tag = "2")]
+    pub(crate) service: String,
+    #[prost(string, tag = "3")]
+    pub(crate) address: String,
+    #[prost(string, tag = "4")]
+    pub(crate) domain: String,
+    #[prost(uint32, tag = "5")]
+    pub(crate) slots: u32,
+    #[prost(bool, tag = "6")]
+    pub(crate) draining: bool,
+    /// How much longer it is cold, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub(crate) cold: u64,
+    #[prost(uint64, optional, tag = "8")]
+    pub(crate) born: Option<u64>,
+}
+
+impl From<&ServerEntry> for EntryMessage {
+    fn from(entry: &ServerEntry) -> Self {
+        Self {
+            id: entry.id.to_string(),
+            service: entry.service.to_string(),
+            address: entry.address.to_string(),
+            domain: entry.domain.clone(),
+            slots: entry.slots,
+            draining: entry.draining,
+            cold: entry.cold_for.as_millis() as u64,
+            born: entry.born,
+        }
+    }
+}
+
+impl EntryMessage {
+    /// The entry; `None` where its address cannot be read.
+    pub(crate) fn to_entry(&self) -> Option<ServerEntry> {
+        Some(ServerEntry {
+            id: Arc::from(self.id.as_str()),
+            service: Arc::from(self.service.as_str()),
+            address: self.address.parse().ok()?,
+            domain: self.domain.clone(),
+            slots: self.slots,
+            draining: self.draining,
+            cold_for: Duration::from_millis(self.cold),
+            born: self.born,
+        })
+    }
 }
 
 /// What a following host saw since its last report.
@@ -221,6 +305,12 @@
     (Arc::from(packed.service.as_str()), spans)
 }
 
+/// Packs a message, once for all hosts that it goes to.
+pub(crate) fn frame(body: Body) -> Bytes {
+    let envelope = Envelope { body: Some(body) };
+    Bytes::from(envelope.encode_to_vec())
+}
+
 /// A connection to another host.
 pub(crate) struct Link {
     framed: Framed<Compat<TcpStream>, LengthDelimitedCodec>,
@@ -241,8 +331,11 @@
 
     /// Sends a message; `None` when the connection is broken.
     pub(crate) async fn send(&mut self, body: Body) -> Option<()> {
-        let envelope = Envelope { body: Some(body) };
-        let bytes = Bytes::from(envelope.encode_to_vec());
+        self.send_frame(frame(body)).await
+    }
+
+    /// Sends a message that is packed already; `None` when the connection is broken.
+    pub(crate) async fn send_frame(&mut self, bytes: Bytes) -> Option<()> {
         self.framed.send(bytes).await.ok()
     }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::front::Front;
 use crate::granting::heat_of;
 use crate::messages::{Beat, Body, Hello, Link, Report};
-use crate::watch::KINDS;
+use crate::watch::{self, KINDS};
 
 /// Time without a beat after which the granting host counts as lost.
 pub(crate) const SILENCE: Duration = Duration::from_millis(1_600);
@@ -79,7 +79,10 @@
             Either::Right((body, _)) => Either::Right(body),
         };
         let done = match step {
-            Either::Left(Some(body)) => timeout(SILENCE, link.send(body)).await.ok().flatten(),
+            Either::Left(Some(bytes)) => timeout(SILENCE, link.send_frame(bytes))
+                .await
+                .ok()
+                .flatten(),
             Either::Right(Some(Body::Report(report))) => {
                 leading.report(&hello.name, report);
                 Some(())
@@ -117,8 +120,10 @@
         match timeout(SILENCE, link.receive()).await.ok()?? {
             Body::Beat(beat) if beat.term == term => {
                 front.hear_granter();
-                for (kind, revision) in KINDS.iter().zip(&beat.changes) {
-                    front.tell_change(kind, *revision);
+                let told = beat.changes.iter().zip(&beat.ages);
+                for (kind, (change, age)) in KINDS.iter().zip(told) {
+                    let age = Duration::from_millis(*age);
+                    front.refresh(kind, |freshness, now| freshness.tell(now, *change, age));
                 }
                 front.route(|router, _| router.set_hosts(beat.hosts as usize));
                 timeout(SILENCE, link.send(Body::Report(report(front, &beat))))
@@ -142,6 +147,7 @@
                         .ok()??;
                 }
             }
+            Body::News(news) => watch::take_news(front, news),
             Body::Resign(_) => return Some(Ended::Resigned),
             _ => return None,
         }
@@ -157,14 +163,16 @@
     }
 }
 
-/// Whether the granting host has been without the store for long, and this host is not.
+/// Whether the granting host has been without the store for long, and this host was answered
+/// meanwhile.
 fn is_better_off(front: &Front, beat: &Beat, storeless: &mut Option<Time>) -> bool {
-    if beat.store || front.store.outage().is_some() {
+    if beat.store {
         *storeless = None;
         return false;
     }
     let now = clock::now();
-    now.since(*storeless.get_or_insert(now)) >= STORELESS
+    let since = *storeless.get_or_insert(now);
+    now.since(since) >= STORELESS && front.store.answered() > since
 }
 
 /// Asks a host for how long the granting one has been silent.
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -115,6 +115,11 @@
         Some(outage).filter(|outage| *outage >= SILENCE)
     }
 
+    /// When the store last answered.
+    pub(crate) fn answered(&self) -> Time {
+        lock(&self.health).answered
+    }
+
     async fn exchange(
         &self,
         method: &str,
