--- a/crates/host/tests/platform.rs
+++ b/crates/host/tests/platform.rs
@@ -8,7 +8,8 @@
 use amaranthshunt_soak::{Size, play};
 use amaranthshunt_support::free_address;
 use amaranthshunt_support::platform::{
-    ObjectStore, StoreFault, Upstream, UpstreamFault, UpstreamOptions, Witness,
+    FaultProxy, LinkFault, ObjectStore, StoreFault, Upstream, UpstreamFault, UpstreamOptions,
+    Witness,
 };
 use async_std::net::TcpStream;
 use async_std::task;
@@ -18,6 +19,9 @@
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_amaranthshunt");
 
+/// Time within which a drain and a configuration are in force.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
 /// A host with its store and one server of each service.
 struct Site {
     store: ObjectStore,
@@ -169,6 +173,43 @@
         .map_or(0, |response| response.status().into())
 }
 
+/// A second host of a site, behind a proxy before the store.
+struct Companion {
+    store: FaultProxy,
+    callers: SocketAddr,
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Drop for Companion {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn add_host(site: &Site, name: &str) -> Companion {
+    let store = FaultProxy::start(free_address(), site.store.address())
+        .await
+        .unwrap();
+    let (callers, ready) = (free_address(), free_address());
+    let folder = std::env::temp_dir().join(format!("amaranthshunt-{name}-{}", std::process::id()));
+    let text = settings(store.address(), callers, ready).replace("host-0", "host-1");
+    let child = spawn(&folder, &text);
+    let host = Companion {
+        store,
+        callers,
+        child,
+        folder,
+    };
+    until("the second host serves keys", async || {
+        status(&send(host.callers, Method::Get, "/read/x", "second").await) == 200
+    })
+    .await;
+    host
+}
+
 fn signal(site: &Site, signal: Signal) {
     kill_process(Pid::from_raw(site.child.id() as i32).unwrap(), signal).unwrap();
 }
@@ -234,6 +275,40 @@
     });
 }
 
+#[test]
+fn a_host_that_the_store_turns_away_hears_of_drains_from_the_granting_host() {
+    task::block_on(async {
+        let site = start("told").await;
+        let host = add_host(&site, "told-second").await;
+        host.store.set_fault(LinkFault::Reset);
+
+        site.servers[1].set_draining(true);
+        task::sleep(DRAIN).await;
+        let paid = send(host.callers, Method::Post, "/pay/x", "h1").await;
+
+        assert_eq!(status(&paid), 503);
+        assert_eq!(ran(&site, "h1"), 0);
+    });
+}
+
+#[test]
+fn a_configuration_is_read_as_soon_as_the_store_lets_a_host_in_again() {
+    task::block_on(async {
+        let site = start("let-in").await;
+        let host = add_host(&site, "let-in-second").await;
+        host.store.set_fault(LinkFault::Reset);
+        site.store
+            .put("config", "main", config(5, "/new/"), Value::Null);
+        task::sleep(Duration::from_secs(4)).await;
+
+        host.store.set_fault(LinkFault::None);
+        task::sleep(DRAIN).await;
+        let new = send(host.callers, Method::Post, "/new/x", "i1").await;
+
+        assert_eq!(status(&new), 200);
+    });
+}
+
 #[test]
 fn a_server_that_answers_without_signature_never_looks_like_a_success() {
     task::block_on(async {
