--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod bounds;
+mod crowd;
 mod fixture;
 mod freshness;
 mod grants;
