--- a/crates/core/src/arena.rs
+++ b/crates/core/src/arena.rs
@@ -94,11 +94,6 @@
         self.slots[key.index()].value = value;
     }
 
-    /// Every value, to be changed, in the order of the slots.
-    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut T> {
-        self.slots.iter_mut().filter_map(|slot| slot.value.as_mut())
-    }
-
     /// Every key that has a value, in the order of the slots.
     pub fn iter(&self) -> impl Iterator<Item = (K, &T)> {
         self.slots
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -5,13 +5,11 @@
 //! or output. `docs/platform-path.md` records the design and the ways that were weighed.
 
 mod balance;
-mod board;
 mod cold;
 mod config;
 mod freshness;
 mod granter;
 mod load;
-mod patience;
 mod placement;
 mod retries;
 mod router;
@@ -20,7 +18,6 @@
 mod splits;
 
 pub use balance::{Candidate, KeyHeat, ServerHeat};
-pub use board::{LoadBoard, RunningCount, ServerNames};
 pub use cold::ColdShare;
 pub use config::{Config, Limits, Part, Route, Service};
 pub use freshness::{Freshness, Passed};
--- a/crates/core/src/front/load.rs
+++ b/crates/core/src/front/load.rs
@@ -12,9 +12,6 @@
 const FULL_QUEUE: f64 = 4.0;
 /// Time after which half of what others had running is taken to be done.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(700);
-/// Time for which a count that other hosts have told stays as it is: two periods in which they
-/// tell it, and the way between regions.
-const TOLD_SPAN: Duration = Duration::from_millis(600);
 /// Time without an answer after which half of a server's slowness is forgotten.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Mean time of work of a service before its first answer.
@@ -39,7 +36,6 @@
     started: Vec<Time>,
     others: f64,
     others_at: Time,
-    told_until: Time,
     mean_micros: f64,
     answered: Time,
 }
@@ -66,13 +62,6 @@
         self.others_at = now;
     }
 
-    /// Takes in how many requests other hosts have running, by their own counts.
-    pub fn told(&mut self, now: Time, others: u32) {
-        self.others = f64::from(others);
-        self.others_at = now;
-        self.told_until = now + TOLD_SPAN;
-    }
-
     /// Takes in that the server turned a request away, so that it is full whatever was thought.
     pub fn rejected(&mut self, now: Time, slots: u32) {
         let full = f64::from(slots) + FULL_QUEUE;
@@ -115,25 +104,15 @@
         Duration::from_micros((usual + (self.mean_micros - usual) * known).max(0.0) as u64)
     }
 
-    /// How many times its own work a request sent now would take at a server with so many slots.
-    pub fn rounds(&self, now: Time, slots: u32) -> f64 {
-        let slots = f64::from(slots.max(1));
-        ((self.total(now) + 1.0) / slots).max(1.0)
-    }
-
     /// How long a request sent now would take at a server with so many slots.
     pub fn expected(&self, now: Time, slots: u32, usual: Duration) -> Duration {
-        self.mean(now, usual).mul_f64(self.rounds(now, slots))
-    }
-
-    /// Whether other hosts have told of late what they have running.
-    pub fn is_told(&self, now: Time) -> bool {
-        self.told_until > now
+        let slots = f64::from(slots.max(1));
+        let rounds = 1.0 + ((self.total(now) + 1.0 - slots) / slots).max(0.0);
+        self.mean(now, usual).mul_f64(rounds)
     }
 
     fn others_at(&self, now: Time) -> f64 {
-        let since = self.others_at.max(self.told_until);
-        self.others * fade(now.since(since), OTHERS_HALF_LIFE)
+        self.others * fade(now.since(self.others_at), OTHERS_HALF_LIFE)
     }
 }
 
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -7,14 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::board::{RunningCount, ServerNames};
 use super::config::Config;
 use super::load::LoadReport;
-use super::patience::Patience;
 use super::placement::{Table, TableSpan};
 use super::retries::RetryShare;
 use super::servers::{ServerChanges, ServerEntry, Servers};
@@ -46,12 +42,9 @@
     /// Until when an entry that is gone from the store may yet be back.
     returns_until: Time,
     splits: Splits,
-    patience: Patience,
     retries: RetryShare,
     heat: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
     usual: BTreeMap<Arc<str>, Duration>,
-    /// Drawn from where hosts that know the same must not do the same.
-    random: SmallRng,
     log: Vec<Record>,
 }
 
@@ -59,10 +52,8 @@
     /// Makes a router that knows nothing yet.
     pub fn new(settings: RouterSettings) -> Self {
         let retries = RetryShare::new(settings.retry_ratio, settings.retry_slack, UNKNOWN_HOSTS);
-        let random = SmallRng::seed_from_u64(xxh3_64(settings.name.as_bytes()));
         Self {
             settings,
-            random,
             started: false,
             config: None,
             servers: Servers::default(),
@@ -72,7 +63,6 @@
             hosts: UNKNOWN_HOSTS,
             returns_until: Time::ZERO,
             splits: Splits::default(),
-            patience: Patience::default(),
             retries,
             heat: BTreeMap::new(),
             usual: BTreeMap::new(),
@@ -265,32 +255,6 @@
         }
     }
 
-    /// What this host has running, for the others; servers without a name in the list are left out.
-    pub fn count_running(&mut self, names: &ServerNames) -> Vec<RunningCount> {
-        let mut counts = Vec::new();
-        for standing in self.servers.iter_mut() {
-            standing.told_running = 0;
-            let count = standing.load.running() as u32;
-            if let Some(server) = names.find(&standing.entry.id).filter(|_| count > 0) {
-                standing.told_running = count;
-                counts.push(RunningCount { server, count });
-            }
-        }
-        counts
-    }
-
-    /// Takes in what all hosts have running, in which this host's last count is contained.
-    pub fn take_totals(&mut self, now: Time, names: &ServerNames, totals: &[u8]) {
-        for standing in self.servers.iter_mut() {
-            let index = names.find(&standing.entry.id);
-            let total = index.and_then(|index| totals.get(index as usize));
-            if let Some(total) = total {
-                let others = u32::from(*total).saturating_sub(standing.told_running);
-                standing.load.told(now, others);
-            }
-        }
-    }
-
     /// Takes in that the store answers again after an outage.
     pub fn store_is_back(&mut self, now: Time) {
         self.allow_returns(now, RETURN_GRACE);
@@ -349,10 +313,8 @@
         let keyed = service.is_some_and(|service| service.keyed);
         match ending {
             Ending::Answered { success } => {
-                // What it waited for others is not its own work.
-                let work = took.div_f64(target.rounds.max(1.0));
-                standing.load.answered(now, work, usual);
-                let mean = usual.mul_f64(1.0 - USUAL_WEIGHT) + work.mul_f64(USUAL_WEIGHT);
+                standing.load.answered(now, took, usual);
+                let mean = usual.mul_f64(1.0 - USUAL_WEIGHT) + took.mul_f64(USUAL_WEIGHT);
                 self.usual.insert(target.entry.service.clone(), mean);
                 if success {
                     standing.succeeded();
--- a/crates/core/src/front/router/choice.rs
+++ b/crates/core/src/front/router/choice.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-use rand::seq::SliceRandom;
-
 use super::Router;
 use super::types::{LONGEST_RETURN, Plan, RefusalCause, Refused, SHORTEST_RETURN, Target};
 use crate::front::config::{Route, Service};
@@ -22,46 +19,15 @@
 /// Part of the usual time of work by which a host prefers some servers to others, so that hosts
 /// that know equally little do not all choose the same one.
 const PREFERENCE: f64 = 0.3;
-/// Servers at each distance that are compared for one request.
-const COMPARED: usize = 3;
 /// Requests beyond its slots that a server is sent for the most urgent rank.
 const URGENT_QUEUE: f64 = 3.0;
 /// Requests that each rank less is sent fewer.
 const RANK_STEP: f64 = 1.0;
 /// Requests beyond its slots that a server is sent for any rank, at least.
 const LEAST_QUEUE: f64 = 1.0;
-/// Part of a route's target that a request of the most urgent rank may be expected to take; the
-/// rest is for work that takes longer than usual.
-const URGENT_PART: f64 = 1.0;
-/// Part by which each rank less may take less.
-const RANK_PART: f64 = 0.06;
-/// Part for any rank, at least.
-const LEAST_PART: f64 = 0.5;
-/// Requests for each slot that are sent at least: a free slot is left to nobody.
-const LEAST_ROUNDS: f64 = 1.0;
-/// Requests for each slot that are sent at most: below the queue of any server seen so far.
-const MOST_ROUNDS: f64 = 1.8;
 /// Time after which keys between two servers are likely to be served again.
 const KEY_RETURN: Duration = Duration::from_millis(250);
 
-/// Requests that a server may have under way, one of this plan included.
-///
-/// Where hosts know each other's counts, as many wait as are answered within the route's target;
-/// a request that has missed it already gets a free slot, but does not wait before others.
-/// Where they do not, each may be one of many that fill the same server, so few do.
-fn room(now: Time, standing: &Standing, plan: &Plan, usual: Duration) -> f64 {
-    let slots = f64::from(standing.entry.slots);
-    let rank = f64::from(plan.route.priority);
-    if !standing.load.is_told(now) {
-        return slots + (URGENT_QUEUE - RANK_STEP * rank).max(LEAST_QUEUE);
-    }
-    let part = (URGENT_PART - RANK_PART * rank).max(LEAST_PART);
-    let mean = standing.load.mean(now, usual).as_secs_f64().max(0.001);
-    let left = plan.route.target.saturating_sub(plan.age).as_secs_f64();
-    let rounds = left * part / mean;
-    slots * rounds.clamp(LEAST_ROUNDS, MOST_ROUNDS)
-}
-
 impl Router {
     /// Finds the route and service of a request.
     ///
@@ -91,19 +57,9 @@
             service,
             keyed,
             version: config.version,
-            age: Duration::ZERO,
         })
     }
 
-    /// Finds out from how long a caller waits for how long it has tried before.
-    pub fn age(&mut self, now: Time, plan: Plan, patience: Option<Duration>) -> Plan {
-        let Some(patience) = patience else {
-            return plan;
-        };
-        let age = self.patience.age(now, &plan.route, patience);
-        plan.aged(age)
-    }
-
     /// Chooses a server for a request and counts the request as running there.
     ///
     /// `avoided` names servers that did not serve it, `sends` says how often it was sent before.
@@ -145,7 +101,6 @@
         } else {
             standing.cold.clear();
         }
-        let rounds = standing.load.rounds(now, standing.entry.slots);
         standing.load.sent(now);
         let entry = standing.entry.clone();
         if let Some(key) = key.filter(|_| plan.keyed) {
@@ -156,7 +111,6 @@
             server: chosen,
             entry,
             sent: now,
-            rounds,
         })
     }
 
@@ -223,7 +177,9 @@
         {
             return Err(Refused::new(RefusalCause::Cold, KEY_RETURN));
         }
-        if standing.load.total(now) + 1.0 > room(now, standing, plan, usual) {
+        let slots = f64::from(standing.entry.slots);
+        let queue = URGENT_QUEUE - RANK_STEP * f64::from(plan.route.priority);
+        if standing.load.total(now) + 1.0 > slots + queue.max(LEAST_QUEUE) {
             let expected = standing.load.expected(now, standing.entry.slots, usual);
             return Err(Refused::new(RefusalCause::Busy, expected / 2));
         }
@@ -231,9 +187,6 @@
     }
 
     /// The server that is likely to answer first, far ones at a penalty.
-    ///
-    /// Only a few, drawn anew each time, are compared: hosts that are told the same counts would
-    /// all choose the same server, and fill it before the next counts tell them so.
     fn cheapest(
         &mut self,
         now: Time,
@@ -241,25 +194,16 @@
         avoided: &[ServerKey],
     ) -> Result<ServerKey, Refused> {
         let service = self.service(&plan.service);
-        let mut near: [Vec<(Duration, ServerKey)>; 3] = Default::default();
-        let keys = self.servers.of(&plan.service).to_vec();
-        for server in keys {
-            let open = self.is_open(now, server, plan) && !avoided.contains(&server);
-            if let Some(standing) = self.servers.get(server).filter(|_| open) {
-                let handicap = self.random.random_range(0.0..1.0);
-                let distance = self.distance(&standing.entry.domain);
-                near[distance].push((self.cost(now, standing, handicap), server));
+        let mut servers: Vec<(Duration, ServerKey)> = Vec::new();
+        for server in self.servers.of(&plan.service) {
+            let open = self.is_open(now, *server, plan) && !avoided.contains(server);
+            if let Some(standing) = self.servers.get(*server).filter(|_| open) {
+                servers.push((self.cost(now, standing), *server));
             }
         }
+        servers.sort();
         let mut refused = Refused::new(RefusalCause::NoServer, LONGEST_RETURN / 2);
-        let mut compared = Vec::new();
-        for mut servers in near {
-            let amount = servers.len().min(COMPARED);
-            let (drawn, _) = servers.partial_shuffle(&mut self.random, amount);
-            compared.extend_from_slice(drawn);
-        }
-        compared.sort();
-        for (_, server) in compared {
+        for (_, server) in servers {
             match self.has_room(now, server, plan, service.as_ref()) {
                 Ok(()) => return Ok(server),
                 Err(reason) => refused = reason,
@@ -268,25 +212,19 @@
         Err(refused)
     }
 
-    /// How far a failure domain is: zero for the own one, one for the region, two beyond it.
-    fn distance(&self, domain: &str) -> usize {
+    fn cost(&self, now: Time, standing: &Standing) -> Duration {
+        let entry = &standing.entry;
         let regions = &self.settings.regions;
-        if domain == self.settings.domain {
-            0
-        } else if regions.get(domain) == regions.get(&self.settings.domain) {
-            1
+        let penalty = if entry.domain == self.settings.domain {
+            Duration::ZERO
+        } else if regions.get(&entry.domain) == regions.get(&self.settings.domain) {
+            DOMAIN_PENALTY
         } else {
-            2
-        }
-    }
-
-    fn cost(&self, now: Time, standing: &Standing, handicap: f64) -> Duration {
-        let entry = &standing.entry;
-        let penalty =
-            [Duration::ZERO, DOMAIN_PENALTY, REGION_PENALTY][self.distance(&entry.domain)];
+            REGION_PENALTY
+        };
         let usual = self.usual(&entry.service);
         let expected = standing.load.expected(now, entry.slots, usual);
-        let preference = usual.mul_f64(PREFERENCE * handicap);
+        let preference = usual.mul_f64(PREFERENCE * standing.preference);
         expected.max(standing.load.oldest(now) / 2) + penalty + preference
     }
 
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -44,16 +44,6 @@
     pub keyed: bool,
     /// The version of the configuration that decided.
     pub version: u64,
-    /// For how long its caller has tried before, as far as its patience shows.
-    pub age: Duration,
-}
-
-impl Plan {
-    /// Takes in for how long the caller has tried before.
-    #[must_use]
-    pub fn aged(self, age: Duration) -> Self {
-        Self { age, ..self }
-    }
 }
 
 /// The server that a request is sent to.
@@ -65,8 +55,6 @@
     pub entry: ServerEntry,
     /// When the request was counted as running there.
     pub sent: Time,
-    /// How many times its own work it was expected to take, for the requests ahead of it.
-    pub rounds: f64,
 }
 
 /// Why a request was refused.
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -72,8 +72,6 @@
     pub preference: f64,
     /// Until when it gets no request.
     pub shunned_until: Time,
-    /// Requests of this host that were running when it last told the others.
-    pub told_running: u32,
     shun: Duration,
     failures: u32,
 }
@@ -87,7 +85,6 @@
             cold: ColdShare::default(),
             preference,
             shunned_until: Time::ZERO,
-            told_running: 0,
             shun: FIRST_SHUN,
             failures: 0,
         }
@@ -198,11 +195,6 @@
         self.arena.get_mut(key)
     }
 
-    /// Every server, to be changed.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Standing> {
-        self.arena.values_mut()
-    }
-
     /// The servers of a service.
     pub fn of(&self, service: &str) -> &[ServerKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -151,10 +151,7 @@
             retry_after: Some(RETURN),
         })
     } else {
-        front.route(|router, now| {
-            let plan = router.plan(&host, &head.target)?;
-            Ok(router.age(now, plan, patience))
-        })
+        front.route(|router, _| router.plan(&host, &head.target))
     };
     let answer = match planned {
         Err(refused) => Some(refuse(front, &id, refused)),
--- a/crates/front/src/granting.rs
+++ b/crates/front/src/granting.rs
@@ -45,11 +45,6 @@
 const TICK: Duration = Duration::from_millis(40);
 /// Time between two beats.
 const BEAT: Duration = Duration::from_millis(500);
-/// Time between two exchanges of what hosts have running: about half the work of a request.
-const EXCHANGE: Duration = Duration::from_millis(200);
-/// The same for each host that follows, so that an exchange with many hosts costs the granting
-/// one no more: at 80 us for each, two hundredths of a core.
-const EXCHANGE_SHARE: Duration = Duration::from_millis(4);
 /// Age of the last confirmation at which the store is asked.
 const CONFIRM_AGE: Duration = Duration::from_millis(1_100);
 /// Pause between two questions to the store.
@@ -221,13 +216,11 @@
         orders: OrderClient::default(),
         members: Mutex::new(members),
         revision: Mutex::new(revision),
-        board: Mutex::default(),
         ended: AtomicBool::new(false),
         started,
     });
     front.set_leading(Some(leading.clone()));
     let mut beaten = Time::ZERO;
-    let mut exchanged = Time::ZERO;
     let mut asked = Time::ZERO;
     let mut published = Table::default();
     let mut counted = (0, started);
@@ -248,10 +241,6 @@
             beaten = now;
             beat(front, &leading, now, now.since(started) >= GATHERING);
         }
-        if now.since(exchanged) >= exchange_period(leading.follower_count()) {
-            exchanged = now;
-            leading.exchange(front);
-        }
         if !gathered && now.since(started) >= GATHERING / 2 {
             gathered = true;
             task::spawn(gather(front.clone(), leading.clone()));
@@ -266,11 +255,6 @@
     front.log(Code::GranterEnded, &name, format!("term {}", record.term));
 }
 
-/// Time between two exchanges of what hosts have running.
-fn exchange_period(followers: usize) -> Duration {
-    EXCHANGE.max(EXCHANGE_SHARE * followers as u32)
-}
-
 /// Finds out whether this host is still the granting one: from the hosts, or else the store.
 fn confirm(front: &Arc<Front>, leading: &Arc<Leading>, now: Time, asked: &mut Time) {
     let hosts = lock(&leading.members).len();
--- a/crates/front/src/granting/leading.rs
+++ b/crates/front/src/granting/leading.rs
@@ -5,14 +5,13 @@
 use std::sync::{Arc, Mutex};
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Granter, LoadBoard, RunningCount};
+use amaranthshunt_core::front::Granter;
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
 
 use crate::clock;
-use crate::front::Front;
 use crate::lock::lock;
-use crate::messages::{Body, Counts, Report, TableMessage, Totals, frame};
+use crate::messages::{Body, Report, TableMessage, frame};
 use crate::orders::OrderClient;
 
 /// What the granting host keeps beside the granter itself.
@@ -23,8 +22,6 @@
     /// Every host that was ever heard of.
     pub(super) members: Mutex<BTreeSet<String>>,
     pub(super) revision: Mutex<u64>,
-    /// What all hosts have running at each server.
-    pub(super) board: Mutex<LoadBoard>,
     pub(super) ended: AtomicBool,
     pub(super) started: Time,
 }
@@ -34,8 +31,6 @@
     number: u64,
     sender: Sender<Bytes>,
     pub(super) echoed: Time,
-    /// Which list of servers' names it knows, and how many names of it.
-    named: (u32, usize),
 }
 
 impl Leading {
@@ -52,7 +47,6 @@
             number,
             sender,
             echoed: Time::ZERO,
-            named: (0, 0),
         };
         followers.insert(name.to_owned(), follower);
         number
@@ -90,64 +84,6 @@
         }
     }
 
-    /// Takes in what a following host has running.
-    pub(crate) fn count(&self, name: &str, counts: Counts) {
-        if let Some(follower) = lock(&self.followers).get_mut(name) {
-            follower.named = (counts.epoch, counts.named as usize);
-        }
-        let pairs = counts.servers.iter().zip(&counts.counts);
-        let running = pairs.map(|(server, count)| RunningCount {
-            server: *server,
-            count: *count,
-        });
-        lock(&self.board).count(name, counts.epoch, running.collect());
-    }
-
-    /// Adds up what all hosts have running, tells it to them and this host's router.
-    pub(super) fn exchange(&self, front: &Front) {
-        let mut board = lock(&self.board);
-        front.route(|router, now| {
-            let servers = router.servers().iter();
-            let ids: Vec<Arc<str>> = servers
-                .map(|(_, standing)| standing.entry.id.clone())
-                .collect();
-            board.list(ids.iter());
-            let own = router.count_running(board.names());
-            let epoch = board.names().epoch();
-            board.count(&front.settings.name, epoch, own);
-            router.take_totals(now, board.names(), &board.totals());
-        });
-        let (epoch, length) = (board.names().epoch(), board.names().len());
-        let totals = Bytes::from(board.totals());
-        let message = |from: usize| {
-            let names = board.names().since(from).iter();
-            frame(Body::Totals(Totals {
-                epoch,
-                from: from as u32,
-                names: names.map(|name| name.to_string()).collect(),
-                totals: totals.clone(),
-            }))
-        };
-        let shared = message(length);
-        for (name, follower) in lock(&self.followers).iter() {
-            let known = match follower.named {
-                (known_epoch, known) if known_epoch == epoch => known,
-                _ => 0,
-            };
-            let bytes = if known >= length {
-                shared.clone()
-            } else {
-                message(known)
-            };
-            push(name, &follower.sender, bytes);
-        }
-    }
-
-    /// Hosts that follow this one.
-    pub(super) fn follower_count(&self) -> usize {
-        lock(&self.followers).len()
-    }
-
     /// Takes in that a host no longer follows on a connection.
     pub(crate) fn leave(&self, name: &str, number: u64) {
         let mut followers = lock(&self.followers);
@@ -156,7 +92,6 @@
             .is_some_and(|follower| follower.number == number)
         {
             followers.remove(name);
-            lock(&self.board).leave(name);
         }
     }
 
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -20,7 +20,7 @@
 /// Any message.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(crate) body: Option<Body>,
 }
 
@@ -57,12 +57,6 @@
     /// What the store has told the granting host.
     #[prost(message, tag = "10")]
     News(News),
-    /// What all hosts together have running.
-    #[prost(message, tag = "11")]
-    Totals(Totals),
-    /// What a following host has running; answers totals.
-    #[prost(message, tag = "12")]
-    Counts(Counts),
 }
 
 /// Who a following host is.
@@ -119,36 +113,6 @@
     pub(crate) returns: u64,
 }
 
-/// Requests that all hosts have running at each server.
-#[derive(Clone, Message, PartialEq)]
-pub(crate) struct Totals {
-    /// Which list of names the indices belong to.
-    #[prost(uint32, tag = "1")]
-    pub(crate) epoch: u32,
-    /// The index of the first name below.
-    #[prost(uint32, tag = "2")]
-    pub(crate) from: u32,
-    #[prost(string, repeated, tag = "3")]
-    pub(crate) names: Vec<String>,
-    /// One byte for each server, by index.
-    #[prost(bytes = "bytes", tag = "4")]
-    pub(crate) totals: Bytes,
-}
-
-/// Requests that one host has running at servers.
-#[derive(Clone, Message, PartialEq)]
-pub(crate) struct Counts {
-    #[prost(uint32, tag = "1")]
-    pub(crate) epoch: u32,
-    /// How many names of the list the sender knows.
-    #[prost(uint32, tag = "2")]
-    pub(crate) named: u32,
-    #[prost(uint32, repeated, tag = "3")]
-    pub(crate) servers: Vec<u32>,
-    #[prost(uint32, repeated, tag = "4")]
-    pub(crate) counts: Vec<u32>,
-}
-
 /// What a server says of itself.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct EntryMessage {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{ServerNames, Table};
+use amaranthshunt_core::front::Table;
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -15,7 +15,7 @@
 use crate::clock;
 use crate::front::Front;
 use crate::granting::heat_of;
-use crate::messages::{Beat, Body, Counts, Hello, Link, Report, Totals};
+use crate::messages::{Beat, Body, Hello, Link, Report};
 use crate::watch::{self, KINDS};
 
 /// Time without a beat after which the granting host counts as lost.
@@ -87,10 +87,6 @@
                 leading.report(&hello.name, report);
                 Some(())
             }
-            Either::Right(Some(Body::Counts(counts))) => {
-                leading.count(&hello.name, counts);
-                Some(())
-            }
             Either::Right(Some(Body::TableLost(_))) => {
                 leading.send_table(&hello.name);
                 Some(())
@@ -120,7 +116,6 @@
     let name = front.settings.name.clone();
     link.send(Body::Hello(Hello { name })).await?;
     let mut storeless: Option<Time> = None;
-    let mut names = ServerNames::default();
     loop {
         match timeout(SILENCE, link.receive()).await.ok()?? {
             Body::Beat(beat) if beat.term == term => {
@@ -153,36 +148,12 @@
                 }
             }
             Body::News(news) => watch::take_news(front, news),
-            Body::Totals(totals) => {
-                let counts = take_totals(front, &mut names, totals);
-                timeout(SILENCE, link.send(Body::Counts(counts)))
-                    .await
-                    .ok()??;
-            }
             Body::Resign(_) => return Some(Ended::Resigned),
             _ => return None,
         }
     }
 }
 
-/// Takes in what all hosts have running; returns what this one has.
-fn take_totals(front: &Front, names: &mut ServerNames, message: Totals) -> Counts {
-    let new = message.names.iter().map(|name| Arc::from(name.as_str()));
-    let known = names.learn(message.epoch, message.from as usize, new.collect());
-    let running = front.route(|router, now| {
-        if known {
-            router.take_totals(now, names, &message.totals);
-        }
-        router.count_running(names)
-    });
-    Counts {
-        epoch: names.epoch(),
-        named: names.len() as u32,
-        servers: running.iter().map(|count| count.server).collect(),
-        counts: running.iter().map(|count| count.count).collect(),
-    }
-}
-
 fn report(front: &Front, beat: &Beat) -> Report {
     Report {
         echo: beat.sent,
