Logs and metrics tell how old a host's copy of the store is

The logs could not tell a call that hangs from a leader whose word is late in arriving: a failed call was not logged, nor the age of the copy or the version of a request.

E1404 names each failed call with the time waited, the connection and the age of the copy; E1313 and E1504 have the age, E1504 the version too; two gauges. No decision of the host changes.

--- a/crates/core/src/front/freshness.rs
+++ b/crates/core/src/front/freshness.rs
@@ -43,6 +43,8 @@
     announced: u64,
     announced_at: Time,
     confirmed_at: Option<Time>,
+    /// The latest time at which nothing was missing.
+    complete_at: Time,
 }
 
 impl Freshness {
@@ -54,6 +56,7 @@
         self.change = self.change.max(change.unwrap_or_default());
         self.last_answer = now;
         self.read_at = now;
+        self.complete_at = now;
     }
 
     /// Records a read that may be some seconds old: it is complete up to its revision, but says
@@ -87,6 +90,9 @@
         let confirmed_at =
             Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
         self.confirmed_at = Some(confirmed_at);
+        if self.announced <= self.complete {
+            self.complete_at = self.complete_at.max(confirmed_at);
+        }
     }
 
     /// Records a change that the leader announces without relaying its full content, so that it has
@@ -120,6 +126,12 @@
         now.since(self.last_answer)
     }
 
+    /// Age of this host's copy: the time since nothing was missing from it, as far as this host or
+    /// the leader knows.
+    pub fn copy_age(&self, now: Time) -> Duration {
+        now.since(self.complete_at)
+    }
+
     /// Whether this host has read from the store so lately that it need not do so again yet.
     pub fn was_read_lately(&self, now: Time) -> bool {
         self.read_at != Time::ZERO && now.since(self.read_at) < MAX_READ_AGE
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -132,12 +132,6 @@
             .as_ref()
             .is_none_or(|known| known.version < config.version);
         if newer {
-            let detail = format!("{} routes", config.routes().count());
-            self.log_event(
-                EventCode::ConfigInForce,
-                format!("r{}", config.version),
-                detail,
-            );
             self.config = Some(config);
         }
         newer
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -116,6 +116,8 @@
     StoreBack = 1402, Info, "object store answers again";
     /// An object could not be parsed.
     ObjectUnreadable = 1403, Error, "object could not be read";
+    /// A call that keeps the copy of a kind of object current failed.
+    CopyNotUpdated = 1404, Info, "copy of the store is not updated";
     /// A request was answered, refused or aborted.
     RequestEnded = 1504, Info, "request ended";
     /// The host became the leader, which grants keys.
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -193,7 +193,8 @@
 
 fn refuse_request(host: &EntryHost, id: &str, refusal: RouteRefusal) -> Response {
     let response = Response::refused(refusal);
-    record_response(host, id, "-", &response, Duration::ZERO);
+    let version = host.config_version();
+    record_response(host, id, "-", version, &response, Duration::ZERO);
     response
 }
 
@@ -231,6 +232,7 @@
                 host,
                 &request.id,
                 &request.plan.route.name,
+                request.plan.version,
                 response,
                 duration,
             );
@@ -249,6 +251,7 @@
     host: &EntryHost,
     id: &str,
     route: &str,
+    config_version: u64,
     response: &Response,
     duration: Duration,
 ) {
@@ -260,10 +263,11 @@
     }
     if response.status >= 400 {
         let detail = format!(
-            "route {route}, {}, {}, after {} ms",
+            "route {route}, {}, {}, after {} ms, configuration r{config_version} complete {} ms ago",
             response.status,
             response.log_detail,
-            duration.as_millis()
+            duration.as_millis(),
+            host.copy_age(platform::CONFIG).as_millis(),
         );
         host.log(EventCode::RequestEnded, id, detail);
     }
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::counters::Counters;
+use crate::gauges::Gauges;
 use crate::http::BufferBudget;
 use crate::leadership::LeaderState;
 use crate::lock::lock;
@@ -133,6 +134,20 @@
             && self.with_router(|router, _| router.config().is_some())
     }
 
+    /// Version of the configuration in force; 0 if none is known.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.with_router(|router, _| router.config().map_or(0, |config| config.version))
+    }
+
+    /// Counters and gauges in the Prometheus text format.
+    pub(crate) fn metrics_text(&self) -> String {
+        let gauges = Gauges {
+            config_version: self.config_version(),
+            config_age: self.copy_age(amaranthshunt_platform::CONFIG),
+        };
+        self.counters.to_text() + &gauges.to_text()
+    }
+
     /// Whether a graceful shutdown has begun.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -156,6 +171,11 @@
         lock(&self.freshness).get(kind).copied().unwrap_or_default()
     }
 
+    /// Age of the copy of a kind: the time since nothing was known to be missing from it.
+    pub(crate) fn copy_age(&self, kind: Kind) -> Duration {
+        self.freshness(kind).copy_age(clock::now())
+    }
+
     /// Updates the freshness of a kind.
     pub(crate) fn update_freshness<T>(
         &self,
--- /dev/null
+++ b/crates/front/src/gauges.rs
@@ -0,0 +1,30 @@
+//! Gauges and their text format; `docs/metrics.md` lists them.
+
+use std::time::Duration;
+
+/// What a host knows at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    /// Version of the configuration in force; 0 if none is known.
+    pub(crate) config_version: u64,
+    /// Time since the host's copy of the configuration was known to be complete.
+    pub(crate) config_age: Duration,
+}
+
+impl Gauges {
+    /// The name of every gauge.
+    pub const NAMES: [&'static str; 2] = [
+        "amaranthshunt_config_version",
+        "amaranthshunt_config_age_milliseconds",
+    ];
+
+    /// Every gauge in the Prometheus text format.
+    pub(crate) fn to_text(self) -> String {
+        let values = [u128::from(self.config_version), self.config_age.as_millis()];
+        let lines = Self::NAMES
+            .iter()
+            .zip(values)
+            .map(|(name, value)| format!("# TYPE {name} gauge\n{name} {value}\n"));
+        lines.collect()
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod command;
 mod counters;
 mod entry_host;
+mod gauges;
 mod http;
 mod leadership;
 mod lock;
@@ -26,3 +27,4 @@
 
 pub use command::run;
 pub use counters::{Counter, Counters};
+pub use gauges::Gauges;
--- a/crates/front/src/monitoring.rs
+++ b/crates/front/src/monitoring.rs
@@ -36,7 +36,7 @@
 async fn serve_connection(host: Arc<EntryHost>, mut connection: Connection) {
     while let Ok(head) = within(IDLE_TIMEOUT, connection.read_request(REQUEST_HEAD_LIMIT)).await {
         let (status, body) = if head.target == METRICS_PATH {
-            ("200 OK", host.counters.to_text())
+            ("200 OK", host.metrics_text())
         } else if host.is_ready() {
             ("200 OK", String::new())
         } else {
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -128,6 +128,7 @@
         wait: Duration,
     ) -> Result<StoreResponse> {
         let pooled = self.take();
+        let origin = if pooled.is_some() { "reused" } else { "new" };
         let mut connection = match pooled {
             Some(connection) => connection,
             None => Connection::open(self.address, CONNECT_TIMEOUT)
@@ -151,9 +152,12 @@
                 .await?;
             Ok::<_, crate::http::HttpError>((head, body, sent_completely))
         };
-        let unknown = |reason: String| StoreError::Unknown(reason);
-        let response = timeout(wait + CALL_TIMEOUT, response).await;
-        let response = response.map_err(|_| unknown("no response in time".to_owned()))?;
+        let unknown =
+            |reason: String| StoreError::Unknown(format!("{reason} on a {origin} connection"));
+        let limit = wait + CALL_TIMEOUT;
+        let response = timeout(limit, response).await;
+        let response = response
+            .map_err(|_| unknown(format!("no response within {} ms", limit.as_millis())))?;
         let (head, body, sent_completely) = response.map_err(|error| unknown(error.to_string()))?;
         if head.keep_alive && sent_completely && !connection.has_buffered_data() {
             self.keep(connection);
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -68,6 +68,9 @@
                 }
             }
             Err(error) => {
+                let age = host.copy_age(kind).as_millis();
+                let detail = format!("complete {age} ms ago; {error}");
+                host.log(EventCode::CopyNotUpdated, kind, detail);
                 outage = back_off(&host, kind, &error, outage).await;
             }
         }
@@ -386,7 +389,13 @@
 fn apply_config(host: &EntryHost, object: &StoreObject) {
     match platform::read_config(&object.spec) {
         Ok(config) => {
-            host.with_router(|router, _| router.update_config(Arc::new(config)));
+            let version = format!("r{}", config.version);
+            let routes = config.routes().count();
+            if host.with_router(|router, _| router.update_config(Arc::new(config))) {
+                let age = host.copy_age(platform::CONFIG).as_millis();
+                let detail = format!("{routes} routes, previous copy complete {age} ms ago");
+                host.log(EventCode::ConfigInForce, version, detail);
+            }
         }
         Err(message) => host.log(EventCode::ObjectUnreadable, &object.name, message),
     }
