Tests that fail: configuration late after an outage, and over silent connections

Callers were answered by an old configuration after an outage of the store. Two tests show it with real processes: the store returns right after a follower's call was lost (in force after 4.39 s, bound 4 s), and idle connections that have gone silent before the leader is lost (5.2 to 5.4 s, bound 2.5 s).

--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The host on the users' platform as a real process, with fakes of the platform's services.
 
+mod config_delay;
 mod endless;
 mod site;
 
--- a/crates/support/src/platform/proxy.rs
+++ b/crates/support/src/platform/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback TCP proxy that injects connection faults.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 pub struct FaultProxy {
     address: SocketAddr,
     fault: Arc<Mutex<LinkFault>>,
+    /// Increases each time that the open connections go silent.
+    silence: Arc<AtomicU64>,
+    chunks_to_target: Arc<AtomicU64>,
 }
 
 impl FaultProxy {
@@ -50,6 +54,8 @@
         let proxy = Self {
             address,
             fault: Arc::default(),
+            silence: Arc::default(),
+            chunks_to_target: Arc::default(),
         };
         let this = proxy.clone();
         task::spawn(async move {
@@ -70,6 +76,17 @@
         *lock(&self.fault) = fault;
     }
 
+    /// Number of chunks that were forwarded from the connecting side to the target.
+    pub fn chunks_to_target(&self) -> u64 {
+        self.chunks_to_target.load(Ordering::Relaxed)
+    }
+
+    /// Makes the open connections go silent for good: they stay open and deliver nothing more, while
+    /// new ones work.
+    pub fn silence_open_connections(&self) {
+        self.silence.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn fault(&self) -> LinkFault {
         *lock(&self.fault)
     }
@@ -92,11 +109,15 @@
 
     async fn copy(self, mut from: TcpStream, mut to: TcpStream, to_target: bool) {
         let mut chunk = [0; CHUNK_BYTES];
+        let silence = self.silence.load(Ordering::Relaxed);
         loop {
             let received = async_std::future::timeout(POLL_INTERVAL, from.read(&mut chunk)).await;
             if self.fault() == LinkFault::Reset {
                 return;
             }
+            if self.silence.load(Ordering::Relaxed) != silence {
+                futures::future::pending::<()>().await;
+            }
             let Ok(received) = received else { continue };
             let Ok(count @ 1..) = received else { return };
             loop {
@@ -115,6 +136,9 @@
             if to.write_all(&chunk[..count]).await.is_err() {
                 return;
             }
+            if to_target {
+                self.chunks_to_target.fetch_add(1, Ordering::Relaxed);
+            }
         }
     }
 }
