Idle connections to the store are not trusted for longer than two seconds

Seen by callers (CONFIG): a follower that had lost its leader answered by an old configuration for over 5 s, with no disturbance on the host or the store in the 4 s before.

Cause: a follower makes no call while its leader relays, so its pooled connections can have gone silent long ago; its first watch then lasted until its timeout. The same class as the calls that an outage swallows: the state of a connection was taken for known though nothing had confirmed it.

Change: a connection that was idle for 2 s is not used again; a call without a response closes the idle ones.

--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -24,6 +24,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest response body of the store, in bytes.
 const RESPONSE_BODY_LIMIT: usize = 64 << 20;
+/// Time after which an idle connection is not used again.
+///
+/// It may have gone silent meanwhile, which would show only by a timeout. Connections that are in
+/// use show it in time.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(2_000);
 /// Maximum idle connections to the store.
 const IDLE_LIMIT: usize = 4;
 /// Time of continuous failure after which the store counts as unreachable.
@@ -67,11 +72,17 @@
     failing_since: Option<Time>,
 }
 
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    since: Time,
+}
+
 /// A client of the store that reuses connections and tracks outages.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
-    idle: Mutex<Vec<Connection>>,
+    idle: Mutex<Vec<IdleConnection>>,
     health: Mutex<Health>,
 }
 
@@ -105,8 +116,12 @@
                 health.last_response = now;
                 health.failing_since = None;
             }
-            Err(_) => {
+            Err(error) => {
                 health.failing_since.get_or_insert(now);
+                if matches!(error, StoreError::Unknown(_)) {
+                    // What broke one connection may have broken the others.
+                    lock(&self.idle).clear();
+                }
             }
         }
         result
@@ -184,18 +199,18 @@
 
     fn take(&self) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        while let Some(connection) = idle.pop() {
-            if connection.is_idle() {
-                return Some(connection);
-            }
-        }
-        None
+        let now = clock::now();
+        idle.retain(|idle| now.since(idle.since) < MAX_IDLE_TIME && idle.connection.is_idle());
+        idle.pop().map(|idle| idle.connection)
     }
 
     fn keep(&self, connection: Connection) {
         let mut idle = lock(&self.idle);
         if idle.len() < IDLE_LIMIT {
-            idle.push(connection);
+            idle.push(IdleConnection {
+                connection,
+                since: clock::now(),
+            });
         }
     }
 }
