Relayed data counts as old as it is, with the delay of the heartbeat that vouches for it

The age was that of the time of sending. A heartbeat that was held up, by a late leader, a retransmission or a late follower, made data count as fresher than it was by all of that, up to the 1.6 s in which the leader counts as heard.

Change: the delay against the fastest heartbeat of the connection is added to the age. Needs no common clock and no new message.

Evidence: test heartbeat_that_was_held_up_does_not_make_relayed_data_fresh fails without the delay.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -18,6 +18,7 @@
 mod router;
 mod servers;
 mod settings;
+mod transit_delay;
 mod weighted_split;
 
 pub use admission::{Admission, Overload};
@@ -35,4 +36,5 @@
 };
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
 pub use settings::FrontSettings;
+pub use transit_delay::TransitDelay;
 pub use weighted_split::WeightedSplitter;
--- a/crates/core/src/front/freshness.rs
+++ b/crates/core/src/front/freshness.rs
@@ -81,7 +81,7 @@
     }
 
     /// Records the last change that the leader has seen; `age` is the time since the store last
-    /// answered the leader.
+    /// answered the leader, including what the leader's message was delayed on its way.
     pub fn record_announcement(&mut self, now: Time, change: u64, age: Duration) {
         if change > self.announced {
             self.announced = change;
--- a/crates/core/tests/front/freshness.rs
+++ b/crates/core/tests/front/freshness.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Freshness, RelayStatus};
+use amaranthshunt_core::front::{Freshness, RelayStatus, TransitDelay};
 
 fn at(millis: u64) -> Time {
     Time::from_millis(10_000 + millis)
@@ -114,3 +114,34 @@
     assert!(freshness.was_read_lately(now));
     assert!(!freshness.was_read_lately(Time::from_millis(2_500)));
 }
+
+// Guards against CONFIG: a heartbeat that had been held up counted as the leader's present word, so
+// the host trusted data that was older than it may be.
+#[test]
+fn heartbeat_that_was_held_up_does_not_make_relayed_data_fresh() {
+    let leader_clock = |millis: u64| Time::from_millis(77_000 + millis);
+    let mut transit = TransitDelay::default();
+    let mut freshness = confirmed_at_start();
+    transit.record(leader_clock(0), at(30));
+
+    // Sent at 500 ms, 300 ms after the store's last answer, and received 900 ms late.
+    let delay = transit.record(leader_clock(500), at(1_430));
+    freshness.record_announcement(at(1_430), 90, Duration::from_millis(300) + delay);
+
+    assert_eq!(delay, Duration::from_millis(900));
+    assert!(
+        !freshness.is_current(at(2_000)),
+        "1.8 s after the store's answer"
+    );
+}
+
+#[test]
+fn transit_delay_is_measured_against_the_fastest_heartbeat_whatever_the_clocks_show() {
+    let mut transit = TransitDelay::default();
+
+    let delays = [(90_000, 5_100), (90_500, 5_540), (91_000, 6_150)].map(|(sent, received)| {
+        transit.record(Time::from_millis(sent), Time::from_millis(received))
+    });
+
+    assert_eq!(delays, [0, 0, 110].map(Duration::from_millis));
+}
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Overload, RoutingTable};
+use amaranthshunt_core::front::{Overload, RoutingTable, TransitDelay};
 use async_std::channel::bounded;
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -118,13 +118,15 @@
     let name = host.settings.name.clone();
     link.send(Body::Hello(Hello { name })).await?;
     let mut outage_since: Option<Time> = None;
+    let mut transit = TransitDelay::default();
     loop {
         match timeout(LEADER_TIMEOUT, link.receive()).await.ok()?? {
             Body::Heartbeat(heartbeat) if heartbeat.term == term => {
                 host.note_leader_heard();
+                let delay = transit.record(Time::from_micros(heartbeat.sent_at), clock::now());
                 let states = heartbeat.changes.iter().zip(&heartbeat.ages_ms);
                 for (kind, (change, age)) in KINDS.iter().zip(states) {
-                    let age = Duration::from_millis(*age);
+                    let age = Duration::from_millis(*age) + delay;
                     host.update_freshness(kind, |f, now| f.record_announcement(now, *change, age));
                 }
                 let overloads: Vec<Overload> =
