Test that fails: a server that names a limit gets all requests all the same

Two hosts send 50 requests per second to a server that has named a limit of 5: 197 within 4 s, where 35 are allowed. The fake server can name a limit now; two further tests (the end of a limit, a malformed one) pass, since nothing reads the header yet.

--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod config_delay;
 mod endless;
+mod server_limit;
 mod site;
 
 use std::path::Path;
--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -208,6 +208,8 @@
     fault: UpstreamFault,
     draining: bool,
     sequence: u64,
+    /// Value of the `Server-Limit` header, if responses have one.
+    limit: Option<String>,
 }
 
 /// A fake server that runs in this process.
@@ -237,6 +239,7 @@
             fault: UpstreamFault::None,
             draining: false,
             sequence: 0,
+            limit: None,
         };
         let upstream = Self {
             options,
@@ -272,6 +275,11 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Sets the limit on requests per second that responses name; `None` if they name none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        lock(&self.state).limit = limit.map(str::to_owned);
+    }
+
     /// Sets whether the server reports that it is draining.
     pub fn set_draining(&self, draining: bool) {
         lock(&self.state).draining = draining;
@@ -286,6 +294,7 @@
         state.incarnation += 1;
         state.running = 0;
         state.draining = false;
+        state.limit = None;
         state.fault = UpstreamFault::None;
         drop(state);
         self.store.remove("servers", &self.options.id);
@@ -386,6 +395,9 @@
         options.slots
     );
     response.insert_header("Upstream-Load", load);
+    if let Some(limit) = &lock(&upstream.state).limit {
+        response.insert_header("Server-Limit", limit.as_str());
+    }
     if fault != UpstreamFault::Garbles {
         response.insert_header("Upstream-Signature", format!("sig.{}", options.id));
     }
