All hosts together keep the limit on requests that a server names

Cause: nobody read the header. And a limit applies to all hosts together, so a host that keeps it for itself exceeds it as many times as there are hosts.

Change: half of what a limit allows is divided among the hosts by their shares of the service's requests; hosts count it as they count for cold servers, whose limiter now takes any bound and share. The rest the leader counts out, on request, for requests with keys. A new leader waits until what an earlier one has counted out is past. Keys move off servers with limits. Events E1314 to E1316, two counters, a gauge.

Why it holds: shares hold without anyone; what the leader counts out is what the shares that it told leave over.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -7,13 +7,16 @@
 
 mod admission;
 mod balance;
-mod cold_start;
 mod config;
+mod demand_shares;
 mod freshness;
 mod granter;
 mod host_delay;
 mod load;
 mod placement;
+mod rate_limit;
+mod rate_pool;
+mod rate_share;
 mod retry_budget;
 mod router;
 mod servers;
@@ -23,16 +26,20 @@
 
 pub use admission::{Admission, Overload};
 pub use balance::{KeyRates, MoveCandidate, RateEstimate, ServerUsage};
-pub use cold_start::ColdStartLimiter;
 pub use config::{Config, Limits, Route, Service, WeightedService};
+pub use demand_shares::DemandShares;
 pub use freshness::{Freshness, RelayStatus};
 pub use granter::{ClusterState, Granter, GranterTiming, Order, OrderReply};
 pub use host_delay::HostDelay;
 pub use load::{LoadReport, ServerLoad};
 pub use placement::{KeySpan, Placement, RoutingSpan, RoutingTable};
+pub use rate_limit::RateLimit;
+pub use rate_pool::RatePool;
+pub use rate_share::{RateBound, RateShareLimiter};
 pub use retry_budget::RetryBudgetShare;
 pub use router::{
-    AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, Router, RouterSettings, Target,
+    AttemptOutcome, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router, RouterSettings,
+    Target,
 };
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
 pub use settings::FrontSettings;
--- a/crates/core/src/front/granter/rebalance.rs
+++ b/crates/core/src/front/granter/rebalance.rs
@@ -9,6 +9,7 @@
 use crate::front::admission::Overload;
 use crate::front::balance::{MoveCandidate, RateEstimate, ServerUsage};
 use crate::front::load::INITIAL_LATENCY;
+use crate::front::rate_limit::RateLimit;
 use crate::log::EventCode;
 use crate::time::Time;
 
@@ -66,10 +67,12 @@
                 let mean = measured
                     .clamp(baseline * LATENCY_RANGE.0, baseline * LATENCY_RANGE.1)
                     .max(0.001);
+                let limit = state.rate_limit.map(RateLimit::usable_rate);
+                let capacity = f64::from(state.entry.slots) * EXPECTED_SLOT_USAGE / mean;
                 ServerUsage {
                     id: state.entry.id.clone(),
                     rate: RateEstimate::default(),
-                    capacity: f64::from(state.entry.slots) * EXPECTED_SLOT_USAGE / mean,
+                    capacity: capacity.min(limit.unwrap_or(f64::INFINITY)),
                     keys: 0,
                     accepts_keys: state.ejected_until <= now,
                 }
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -1,5 +1,6 @@
 //! Routes requests to servers.
 
+mod limits;
 mod selection;
 mod types;
 
@@ -20,6 +21,7 @@
 use crate::log::{EventCode, LogRecord};
 use crate::time::Time;
 
+pub use limits::RateLimitReport;
 pub use types::{AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target};
 
 /// How long a server whose entry expired during a store outage has to register again.
@@ -57,6 +59,10 @@
     retry_budget: RetryBudgetShare,
     key_counts: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
     admission: Admission,
+    /// This host's share of the requests for a service, as the leader has told it last.
+    demand_shares: BTreeMap<Arc<str>, f64>,
+    /// When the leader last told the shares.
+    shares_told: Time,
     /// Number of refusals so far, from which the spread of retry times follows.
     refusal_count: u32,
     baseline_latencies: BTreeMap<Arc<str>, Duration>,
@@ -88,6 +94,8 @@
             retry_budget,
             key_counts: BTreeMap::new(),
             admission: Admission::default(),
+            demand_shares: BTreeMap::new(),
+            shares_told: Time::ZERO,
             refusal_count: 0,
             baseline_latencies: BTreeMap::new(),
             typical_loads: BTreeMap::new(),
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -10,6 +10,7 @@
 };
 use crate::front::config::{Route, Service};
 use crate::front::load::INITIAL_LATENCY;
+use crate::front::rate_share::RateBound;
 use crate::front::servers::ServerState;
 use crate::ids::ServerKey;
 use crate::time::Time;
@@ -35,6 +36,9 @@
 /// retry time of callers that are refused because of cold servers.
 const KEY_MOVE_TIME: Duration = Duration::from_millis(250);
 
+/// Window of the rate limit of a cold server (1 s), with a margin for requests that arrive closer
+/// together than they were sent.
+const COLD_WINDOW: Duration = Duration::from_millis(1_150);
 /// Multiple of its equal share of a server's slots and queue that one host uses: requests for a key
 /// may come to few of the hosts.
 const OWN_SHARE_FACTOR: f64 = 8.0;
@@ -132,6 +136,9 @@
         } else {
             state.cold_limiter.reset();
         }
+        if state.rate_limit.is_some() {
+            state.record_limited_send(now);
+        }
         state.load.request_sent(now);
         let may_be_saturated = state.may_be_saturated(now);
         let entry = state.entry.clone();
@@ -178,7 +185,7 @@
             return Err(no_owner);
         }
         if !self.admission.admits(now, id) {
-            return Err(self.overload_refusal(plan));
+            return Err(self.overload_refusal(plan, RefusalCause::Busy));
         }
         self.check_capacity(now, server, plan, service.as_ref())
             .map(|()| server)
@@ -186,7 +193,7 @@
 
     /// Refuses a request for an overloaded server. Its keys are on the move to other servers, which
     /// takes about as long as the work that is running; callers return spread around that time.
-    fn overload_refusal(&mut self, plan: &RoutePlan) -> RouteRefusal {
+    fn overload_refusal(&mut self, plan: &RoutePlan, cause: RefusalCause) -> RouteRefusal {
         self.refusal_count = self.refusal_count.wrapping_add(1);
         let spread = (f64::from(self.refusal_count) * GOLDEN_RATIO).fract();
         let after = self
@@ -194,7 +201,7 @@
             .clamp(KEY_MOVE_TIME, MAX_OVERLOAD_DELAY)
             .mul_f64(MIN_RETURN_SPREAD + spread);
         RouteRefusal {
-            cause: RefusalCause::Busy,
+            cause,
             retry_after: Some(after),
         }
     }
@@ -228,9 +235,12 @@
         plan: &RoutePlan,
         service: Option<&Service>,
     ) -> Result<(), RouteRefusal> {
-        let rate_limit = service.map_or(1.0, |service| {
-            service.cold_rate * self.settings.warm_factor + self.settings.warm_slack - 1.0
-        });
+        let cold_bound = RateBound {
+            requests: service.map_or(1.0, |service| {
+                service.cold_rate * self.settings.warm_factor + self.settings.warm_slack - 1.0
+            }),
+            window: COLD_WINDOW,
+        };
         let hosts = self.hosts;
         let baseline = self.baseline_latency(&plan.service);
         let typical = self.typical_load(&plan.service);
@@ -238,9 +248,12 @@
             return Err(RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER));
         };
         if state.is_cold(now)
-            && !state
-                .cold_limiter
-                .allows(now, rate_limit, hosts, 1.0 - state.tie_break)
+            && !state.cold_limiter.allows(
+                now,
+                cold_bound,
+                1.0 / hosts as f64,
+                1.0 - state.tie_break,
+            )
         {
             return Err(RouteRefusal::new(RefusalCause::Cold, KEY_MOVE_TIME));
         }
@@ -255,6 +268,9 @@
                 .expected_latency(now, state.entry.slots, baseline, typical);
             return Err(RouteRefusal::new(RefusalCause::Busy, expected / 2));
         }
+        if !self.is_within_rate_limit(now, server, plan) {
+            return Err(self.overload_refusal(plan, RefusalCause::Limited));
+        }
         Ok(())
     }
 
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -77,6 +77,9 @@
     NoOwner,
     /// All eligible servers are at capacity.
     Busy,
+    /// The eligible servers have named limits on requests per second, and this host's share of them
+    /// is used up.
+    Limited,
     /// The eligible servers are cold and this host's share of their request rate is used up.
     Cold,
     /// The request has been sent the maximum number of times, or the retry budget is used up.
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::cold_start::ColdStartLimiter;
 use super::load::ServerLoad;
+use super::rate_limit::RateLimit;
+use super::rate_share::RateShareLimiter;
 use crate::arena::Arena;
 use crate::ids::ServerKey;
 use crate::time::Time;
@@ -70,7 +71,20 @@
     /// Until when it is cold.
     pub cold_until: Time,
     /// Limit on requests while it is cold.
-    pub cold_limiter: ColdStartLimiter,
+    pub cold_limiter: RateShareLimiter,
+    /// The limit that it has named in its last response, if that named one.
+    pub rate_limit: Option<RateLimit>,
+    /// Limit on requests while it names one.
+    pub rate_limiter: RateShareLimiter,
+    /// Requests beyond this host's own share that the leader has counted out, and until when they
+    /// may be sent.
+    pub(super) allowance: (u32, Time),
+    /// Until when the leader has nothing more to count out.
+    pub(super) exhausted_until: Time,
+    /// Whether a response has confirmed, changed or ended the limit since the last report.
+    pub(super) limit_observed: bool,
+    /// Whether it has named a limit that is not a number.
+    pub(super) names_invalid_limit: bool,
     /// Tie-breaker of this host between equal servers, from 0 to 1; lower is preferred.
     pub tie_break: f64,
     /// When it last ended a new connection at once.
@@ -87,7 +101,13 @@
             entry,
             load: ServerLoad::default(),
             cold_until: now + warmup_left,
-            cold_limiter: ColdStartLimiter::default(),
+            cold_limiter: RateShareLimiter::default(),
+            rate_limit: None,
+            rate_limiter: RateShareLimiter::default(),
+            allowance: (0, Time::ZERO),
+            exhausted_until: Time::ZERO,
+            limit_observed: false,
+            names_invalid_limit: false,
             tie_break,
             saturated_at: None,
             ejected_until: Time::ZERO,
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -109,6 +109,12 @@
     DomainBack = 1312, Info, "failure domain is back";
     /// A configuration version took effect.
     ConfigInForce = 1313, Info, "configuration in force";
+    /// A backend server names a limit on requests per second.
+    LimitNamed = 1314, Info, "backend server names a limit";
+    /// A backend server no longer names a limit.
+    LimitEnded = 1315, Info, "backend server names no limit any more";
+    /// A backend server names a limit that is not a number.
+    LimitInvalid = 1316, Warn, "backend server names an invalid limit";
     /// The store does not respond.
     #[serde(rename = "StoreSilent")]
     StoreUnavailable = 1401, Error, "object store does not answer";
--- a/crates/core/tests/front/bounds.rs
+++ b/crates/core/tests/front/bounds.rs
@@ -4,11 +4,19 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{ColdStartLimiter, RetryBudgetShare};
+use amaranthshunt_core::front::{RateBound, RateShareLimiter, RetryBudgetShare};
 use yare::parameterized;
 
 const WINDOW_MS: u64 = 10_000;
 
+/// The bound of a cold server, with the window that the router uses.
+fn cold_bound(requests: f64) -> RateBound {
+    RateBound {
+        requests,
+        window: Duration::from_millis(1_150),
+    }
+}
+
 #[parameterized(
     few_hosts = { 3, 60.0 },
     many_hosts = { 12, 60.0 },
@@ -76,14 +84,14 @@
     two_hosts = { 2, 29.5 },
 )]
 fn cold_requests_of_all_hosts_stay_within_the_limit_in_every_second(hosts: usize, bound: f64) {
-    let mut limiters = vec![ColdStartLimiter::default(); hosts];
+    let mut limiters = vec![RateShareLimiter::default(); hosts];
     let mut sent: Vec<u64> = Vec::new();
 
     // Every host tries continuously for ten seconds.
     for millis in (0..10_000).step_by(7) {
         let now = Time::from_millis(1_000 + millis);
         for limiter in &mut limiters {
-            if limiter.allows(now, bound, hosts, 0.5) {
+            if limiter.allows(now, cold_bound(bound), 1.0 / hosts as f64, 0.5) {
                 limiter.record_send(now);
                 sent.push(millis);
             }
@@ -102,12 +110,12 @@
 
 #[test]
 fn low_shares_of_all_hosts_use_less_than_half_of_the_limit() {
-    let mut limiter = ColdStartLimiter::default();
+    let mut limiter = RateShareLimiter::default();
     let mut sent = 0;
 
     for millis in (0..60_000).step_by(10) {
         let now = Time::from_millis(1_000 + millis);
-        if limiter.allows(now, 14.5, 61, 0.5) {
+        if limiter.allows(now, cold_bound(14.5), 1.0 / 61.0, 0.5) {
             limiter.record_send(now);
             sent += 1;
         }
@@ -123,14 +131,14 @@
 #[test]
 fn phases_spread_the_requests_of_many_hosts_to_a_cold_server() {
     let hosts = 61;
-    let mut limiters = vec![ColdStartLimiter::default(); hosts];
+    let mut limiters = vec![RateShareLimiter::default(); hosts];
     let mut sent: Vec<u64> = Vec::new();
 
     for millis in (0..6_000).step_by(10) {
         let now = Time::from_millis(100_000 + millis);
         for (number, limiter) in limiters.iter_mut().enumerate() {
             let phase = number as f64 / hosts as f64;
-            if limiter.allows(now, 14.5, hosts, phase) {
+            if limiter.allows(now, cold_bound(14.5), 1.0 / hosts as f64, phase) {
                 limiter.record_send(now);
                 sent.push(millis);
             }
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod host_delay;
 mod hot_keys;
 mod many_hosts;
+mod rate_limits;
 mod routes;
 mod servers;
 mod sim;
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -34,6 +34,10 @@
     answered = "requests_answered_total";
     /// Requests refused as not run.
     refused = "requests_refused_total";
+    /// Requests refused because of a limit that a server names.
+    limited = "requests_limited_total";
+    /// Requests to the leader for more than this host's share of a limit.
+    allowances_asked = "allowances_asked_total";
     /// Requests that may have run but have no response.
     doubtful = "requests_doubtful_total";
     /// Requests whose caller disconnected.
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -12,6 +12,7 @@
 use amaranthshunt_platform::Kind;
 use async_std::task::JoinHandle;
 
+use crate::allowances::Allowances;
 use crate::clock;
 use crate::counters::Counters;
 use crate::gauges::Gauges;
@@ -38,6 +39,8 @@
     pub(crate) store: StoreClient,
     pub(crate) pool: Pool,
     pub(crate) counters: Counters,
+    /// What this host asks the leader for beyond its share of servers' limits.
+    pub(crate) allowances: Allowances,
     /// Memory of incomplete responses of servers.
     pub(crate) response_buffers: BufferBudget,
     router: Mutex<Router>,
@@ -65,6 +68,7 @@
             store: StoreClient::new(settings.store_address),
             pool: Pool::default(),
             counters: Counters::default(),
+            allowances: Allowances::default(),
             response_buffers: BufferBudget::new(settings.response_memory()),
             router: Mutex::new(Router::new(settings.router())),
             missing_keys: Mutex::default(),
@@ -144,6 +148,7 @@
         let gauges = Gauges {
             config_version: self.config_version(),
             config_age: self.copy_age(amaranthshunt_platform::CONFIG),
+            limited_servers: self.with_router(|router, _| router.rate_limit_count()) as u64,
         };
         self.counters.to_text() + &gauges.to_text()
     }
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -9,18 +9,25 @@
     pub(crate) config_version: u64,
     /// Time since the host's copy of the configuration was known to be complete.
     pub(crate) config_age: Duration,
+    /// Servers that name a limit.
+    pub(crate) limited_servers: u64,
 }
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 2] = [
+    pub const NAMES: [&'static str; 3] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
+        "amaranthshunt_limited_servers",
     ];
 
     /// Every gauge in the Prometheus text format.
     pub(crate) fn to_text(self) -> String {
-        let values = [u128::from(self.config_version), self.config_age.as_millis()];
+        let values = [
+            u128::from(self.config_version),
+            self.config_age.as_millis(),
+            u128::from(self.limited_servers),
+        ];
         let lines = Self::NAMES
             .iter()
             .zip(values)
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -15,7 +15,9 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{ClusterState, Granter, GranterTiming, Placement, RoutingTable};
+use amaranthshunt_core::front::{
+    ClusterState, DemandShares, Granter, GranterTiming, Placement, RatePool, RoutingTable,
+};
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform as platform;
 use async_std::task;
@@ -242,6 +244,8 @@
         orders: OrderClient::default(),
         members: Mutex::new(members),
         record_revision: Mutex::new(revision),
+        demand: Mutex::new(DemandShares::new(started)),
+        pool: Mutex::new(RatePool::new(started)),
         superseded: AtomicBool::new(false),
         started,
     });
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -5,7 +5,7 @@
 use super::LeaderState;
 use crate::entry_host::EntryHost;
 use crate::lock::lock;
-use crate::messages::{Body, Heartbeat, KeyCounts, OverloadMessage, Report};
+use crate::messages::{Body, DemandShareMessage, Heartbeat, KeyCounts, OverloadMessage, Report};
 use crate::watch::KINDS;
 
 /// Takes in this host's own report, and sends a heartbeat to all followers.
@@ -25,6 +25,7 @@
             key_counts,
             missing,
             term: 0,
+            limits: Vec::new(),
         },
     );
     let member_count = lock(&leader.members).len();
@@ -53,8 +54,24 @@
             .map(|kind| host.freshness(kind).age(now).as_millis() as u64)
             .collect(),
         overloads: overloads.iter().map(OverloadMessage::from).collect(),
+        demand_shares: Vec::new(),
+        counts_limits: true,
     };
-    leader.broadcast(Body::Heartbeat(heartbeat));
+    if host.with_router(|router, _| router.rate_limit_count()) == 0 {
+        leader.broadcast(Body::Heartbeat(heartbeat));
+        return;
+    }
+    let own = lock(&leader.demand).tell(&host.settings.name);
+    host.with_router(|router, now| router.set_demand_shares(now, own));
+    leader.send_each(|follower| {
+        let shares = lock(&leader.demand).tell(follower);
+        let messages = shares.iter();
+        let messages = messages.map(|(service, share)| DemandShareMessage::new(service, *share));
+        Body::Heartbeat(Heartbeat {
+            demand_shares: messages.collect(),
+            ..heartbeat.clone()
+        })
+    });
 }
 
 /// Takes the request counts by key since the last call, in the form in which they are sent to the
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::Granter;
+use amaranthshunt_core::front::{DemandShares, Granter, RatePool, Router};
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
 
+use crate::allowances::AllowanceReply;
 use crate::clock;
 use crate::lock::lock;
 use crate::messages::{Body, Report, TableMessage, encode_frame};
@@ -23,6 +25,9 @@
     pub(super) members: Mutex<BTreeSet<String>>,
     /// Revision of the placement record in the store.
     pub(super) record_revision: Mutex<u64>,
+    /// Requests that callers sent to each host.
+    pub(super) demand: Mutex<DemandShares>,
+    pub(super) pool: Mutex<RatePool>,
     pub(super) superseded: AtomicBool,
     pub(super) started: Time,
 }
@@ -62,6 +67,27 @@
         }
     }
 
+    /// Counts out one more request to a server that names a limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until there may be one.
+    pub(crate) fn count_out(
+        &self,
+        router: &Router,
+        now: Time,
+        server: &Arc<str>,
+    ) -> AllowanceReply {
+        let Some((limit, service)) = router.rate_limit(server) else {
+            return Err(Duration::ZERO);
+        };
+        if !self.may_send_orders(now) {
+            return Err(Duration::ZERO);
+        }
+        let divided = lock(&self.demand).divided_requests(&service, limit, router.hosts());
+        lock(&self.pool).take(now, server, limit, divided)
+    }
+
     /// Processes the report of a follower or of the leader itself.
     pub(crate) fn handle_report(&self, name: &str, report: Report) {
         if let Some(follower) = lock(&self.followers).get_mut(name) {
@@ -74,6 +100,7 @@
         }
         for entry in report.key_counts {
             let service = Arc::from(entry.service.as_str());
+            lock(&self.demand).record(now, name, &service, entry.counts.iter().sum());
             let counts = entry.keys.iter().zip(&entry.counts);
             granter.add_key_counts(
                 now,
@@ -105,6 +132,13 @@
         }
     }
 
+    /// Sends each follower a message of its own.
+    pub(super) fn send_each(&self, body: impl Fn(&str) -> Body) {
+        for (name, follower) in lock(&self.followers).iter() {
+            enqueue(name, &follower.sender, encode_frame(body(name)));
+        }
+    }
+
     /// The latest time at which more than half of the hosts, this one included, knew of no other
     /// leader; `None` if too few follow.
     pub(super) fn majority_echo(&self, host_count: usize) -> Option<Time> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! keys, `orders` sends its grants to servers, and `peers` connects it to the other hosts. `watch`
 //! keeps the router's view of the store up to date through `store`.
 
+mod allowances;
 mod callers;
 mod clock;
 mod command;
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{Overload, RoutingSpan, RoutingTable, ServerEntry};
+use amaranthshunt_core::front::{
+    Overload, RateLimit, RateLimitReport, RoutingSpan, RoutingTable, ServerEntry,
+};
 use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -21,7 +23,7 @@
 /// The frame of every message.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub(crate) body: Option<Body>,
 }
 
@@ -58,6 +60,33 @@
     /// Changes that the leader has read from the store.
     #[prost(message, tag = "10")]
     StoreUpdate(StoreUpdate),
+    /// Asks for one more request to a server that names a limit.
+    #[prost(message, tag = "11")]
+    RequestAllowance(RequestAllowance),
+    /// The reply to it.
+    #[prost(message, tag = "12")]
+    Allowance(Allowance),
+}
+
+/// A follower's request for one more request to a server than its share of the limit allows.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct RequestAllowance {
+    /// Number that the reply repeats.
+    #[prost(uint64, tag = "1")]
+    pub(crate) number: u64,
+    /// The limit of the server as the sender knows it.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) limit: Option<LimitMessage>,
+}
+
+/// The leader's reply to a [`RequestAllowance`].
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct Allowance {
+    #[prost(uint64, tag = "1")]
+    pub(crate) number: u64,
+    /// Milliseconds until there may be one; missing if the request may be sent.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) wait_ms: Option<u64>,
 }
 
 /// Identifies a follower.
@@ -91,6 +120,36 @@
     /// Servers with more requests for their keys than they can serve.
     #[prost(message, repeated, tag = "7")]
     pub(crate) overloads: Vec<OverloadMessage>,
+    /// The receiver's share of the requests for each service, while servers name limits.
+    #[prost(message, repeated, tag = "8")]
+    pub(crate) demand_shares: Vec<DemandShareMessage>,
+    /// Whether the sender counts out what is left of servers' limits; see [`RequestAllowance`].
+    #[prost(bool, tag = "9")]
+    pub(crate) counts_limits: bool,
+}
+
+/// A host's share of the requests for a service.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct DemandShareMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    /// Millionths of the requests.
+    #[prost(uint32, tag = "2")]
+    pub(crate) millionths: u32,
+}
+
+impl DemandShareMessage {
+    pub(crate) fn new(service: &str, share: f64) -> Self {
+        Self {
+            service: service.to_owned(),
+            millionths: (share * 1e6) as u32,
+        }
+    }
+
+    pub(crate) fn to_share(&self) -> (Arc<str>, f64) {
+        let share = f64::from(self.millionths) / 1e6;
+        (Arc::from(self.service.as_str()), share)
+    }
 }
 
 /// A server with more requests for its keys than it can serve.
@@ -211,6 +270,42 @@
     /// The latest term that the sender knows of, or 0.
     #[prost(uint64, tag = "4")]
     pub(crate) term: u64,
+    /// Servers whose responses have named a limit or ended one.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) limits: Vec<LimitMessage>,
+}
+
+/// The limit of a server on requests per second.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct LimitMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) server: String,
+    /// Start of the server's process.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) born: Option<u64>,
+    /// Requests per second; missing if the limit has ended.
+    #[prost(double, optional, tag = "3")]
+    pub(crate) per_second: Option<f64>,
+}
+
+impl From<RateLimitReport> for LimitMessage {
+    fn from(report: RateLimitReport) -> Self {
+        Self {
+            server: report.server.to_string(),
+            born: report.start_id,
+            per_second: report.limit.map(RateLimit::per_second),
+        }
+    }
+}
+
+impl From<LimitMessage> for RateLimitReport {
+    fn from(message: LimitMessage) -> Self {
+        Self {
+            server: Arc::from(message.server),
+            start_id: message.born,
+            limit: message.per_second.and_then(RateLimit::new),
+        }
+    }
 }
 
 /// Request counts of one service by key.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,12 +1,13 @@
 //! Connections between the leader and its followers.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Overload, RoutingTable, TransitDelay};
-use async_std::channel::bounded;
+use amaranthshunt_core::front::{Overload, RateLimitReport, RoutingTable, TransitDelay};
+use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -14,8 +15,11 @@
 
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::leadership::take_key_counts;
-use crate::messages::{Body, Heartbeat, Hello, Link, Report};
+use crate::leadership::{LeaderState, take_key_counts};
+use crate::messages::{
+    Allowance, Body, DemandShareMessage, Heartbeat, Hello, LimitMessage, Link, Report,
+    RequestAllowance,
+};
 use crate::watch::{self, KINDS};
 
 /// Time without a heartbeat after which the leader counts as lost.
@@ -85,7 +89,8 @@
                 .await
                 .ok()
                 .flatten(),
-            Either::Right(Some(Body::Report(report))) => {
+            Either::Right(Some(Body::Report(mut report))) => {
+                apply_rate_limits(host, std::mem::take(&mut report.limits));
                 leader.handle_report(&hello.name, report);
                 Some(())
             }
@@ -93,6 +98,13 @@
                 leader.send_table(&hello.name);
                 Some(())
             }
+            Either::Right(Some(Body::RequestAllowance(request))) => {
+                let allowance = reply_to(host, &leader, request);
+                timeout(LEADER_TIMEOUT, link.send(Body::Allowance(allowance)))
+                    .await
+                    .ok()
+                    .flatten()
+            }
             _ => None,
         };
         if handled.is_none() || host.leader_state().is_none() {
@@ -102,14 +114,47 @@
     }
 }
 
+/// Applies the limits of servers that a follower has observed: keys move off such servers, though
+/// the leader itself may send them nothing.
+fn apply_rate_limits(host: &EntryHost, limits: Vec<LimitMessage>) {
+    if limits.is_empty() {
+        return;
+    }
+    host.with_router(|router, _| {
+        for limit in limits {
+            router.apply_rate_limit(&RateLimitReport::from(limit));
+        }
+    });
+}
+
+/// Counts out one more request to a server that names a limit.
+fn reply_to(host: &EntryHost, leader: &LeaderState, request: RequestAllowance) -> Allowance {
+    let limits = request.limit.into_iter().collect::<Vec<LimitMessage>>();
+    let server = limits.first().map(|limit| Arc::from(limit.server.as_str()));
+    apply_rate_limits(host, limits);
+    let reply = server.map_or(Err(Duration::ZERO), |server| {
+        host.with_router(|router, now| leader.count_out(router, now, &server))
+    });
+    Allowance {
+        number: request.number,
+        wait_ms: reply.err().map(|wait| wait.as_millis() as u64),
+    }
+}
+
 /// Follows the leader until it is lost or resigns.
 pub(crate) async fn follow_leader(host: &EntryHost, address: SocketAddr, term: u64) -> FollowEnd {
-    follow_connection(host, address, term)
-        .await
-        .unwrap_or(FollowEnd::LeaderLost)
+    let requests = host.allowances.connect();
+    let end = follow_connection(host, address, term, &requests).await;
+    host.allowances.disconnect();
+    end.unwrap_or(FollowEnd::LeaderLost)
 }
 
-async fn follow_connection(host: &EntryHost, address: SocketAddr, term: u64) -> Option<FollowEnd> {
+async fn follow_connection(
+    host: &EntryHost,
+    address: SocketAddr,
+    term: u64,
+    requests: &Receiver<RequestAllowance>,
+) -> Option<FollowEnd> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .ok()?
@@ -119,8 +164,24 @@
     link.send(Body::Hello(Hello { name })).await?;
     let mut outage_since: Option<Time> = None;
     let mut transit = TransitDelay::default();
+    let mut last_message = clock::now();
     loop {
-        match timeout(LEADER_TIMEOUT, link.receive()).await.ok()?? {
+        let limit = LEADER_TIMEOUT.saturating_sub(clock::now().since(last_message));
+        let received = Box::pin(timeout(limit, link.receive()));
+        let event = match select(received, Box::pin(requests.recv())).await {
+            Either::Left((message, _)) => Either::Left(message.ok()??),
+            Either::Right((request, _)) => Either::Right(request.ok()?),
+        };
+        let message = match event {
+            Either::Left(message) => message,
+            Either::Right(request) => {
+                let request = Body::RequestAllowance(request);
+                timeout(LEADER_TIMEOUT, link.send(request)).await.ok()??;
+                continue;
+            }
+        };
+        last_message = clock::now();
+        match message {
             Body::Heartbeat(heartbeat) if heartbeat.term == term => {
                 host.note_leader_heard();
                 let delay = transit.record(Time::from_micros(heartbeat.sent_at), clock::now());
@@ -131,9 +192,17 @@
                 }
                 let overloads: Vec<Overload> =
                     heartbeat.overloads.iter().map(Overload::from).collect();
+                let shares: BTreeMap<Arc<str>, f64> = heartbeat
+                    .demand_shares
+                    .iter()
+                    .map(DemandShareMessage::to_share)
+                    .collect();
                 host.with_router(|router, now| {
                     router.set_hosts(heartbeat.host_count as usize);
                     router.set_overloads(now, &overloads);
+                    if heartbeat.counts_limits {
+                        router.set_demand_shares(now, shares);
+                    }
                 });
                 timeout(
                     LEADER_TIMEOUT,
@@ -159,6 +228,7 @@
                         .ok()??;
                 }
             }
+            Body::Allowance(allowance) => host.allowances.handle_reply(&allowance),
             Body::StoreUpdate(update) => watch::apply_store_update(host, update),
             Body::Resign(_) => return Some(FollowEnd::LeaderResigned),
             _ => return None,
@@ -172,6 +242,11 @@
         key_counts: take_key_counts(host),
         missing: host.take_missing_keys(),
         term: host.with_router(|router, _| router.table().term),
+        limits: host
+            .with_router(|router, _| router.take_rate_limit_reports())
+            .into_iter()
+            .map(LimitMessage::from)
+            .collect(),
     }
 }
 
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -15,7 +15,7 @@
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::{Connection, HttpError, RequestHead, ResponseHead, within};
-use crate::messages::MissingKey;
+use crate::messages::{LimitMessage, MissingKey};
 use crate::response::Response;
 
 /// Timeout for connecting to a server, after which the server counts as unreachable.
@@ -153,6 +153,14 @@
         });
         let target = match chosen {
             Ok(target) => target,
+            Err(refusal) if attempts.may_ask(&refusal) => {
+                attempts.has_asked = true;
+                if ask_allowance(&host, &request).await {
+                    continue;
+                }
+                host.counters.limited.add();
+                return attempts.final_response(refusal);
+            }
             Err(refusal) => return attempts.final_response(refusal),
         };
         if attempts.sends > 0 {
@@ -194,6 +202,29 @@
     }
 }
 
+/// Asks the leader whether the server with the request's key may get one more request than this
+/// host's share of its limit allows.
+async fn ask_allowance(host: &EntryHost, request: &Request) -> bool {
+    let key = request.shard_key();
+    let limit = host.with_router(|router, now| router.negotiable_limit(now, &request.plan, key));
+    let Some(limit) = limit else {
+        return false;
+    };
+    host.counters.allowances_asked.add();
+    let server = limit.server.clone();
+    let reply = match host.leader_state() {
+        Some(leader) => {
+            Some(host.with_router(|router, now| leader.count_out(router, now, &server)))
+        }
+        None => host.allowances.ask(LimitMessage::from(limit)).await,
+    };
+    let Some(reply) = reply else {
+        return false;
+    };
+    host.with_router(|router, now| router.record_allowance(now, &server, reply));
+    reply.is_ok()
+}
+
 /// The results of earlier attempts of a request.
 #[derive(Default)]
 struct Attempts {
@@ -201,12 +232,19 @@
     sends: usize,
     unreachable: usize,
     misdirected: bool,
+    /// Whether the leader has been asked for a request beyond this host's share of a limit.
+    has_asked: bool,
     refusal: Option<RouteRefusal>,
     /// Status and log detail of an attempt after which the request may have run.
     maybe_ran: Option<(u16, String)>,
 }
 
 impl Attempts {
+    /// Whether a refusal may be avoided by asking the leader: once, before the first send.
+    fn may_ask(&self, refusal: &RouteRefusal) -> bool {
+        refusal.cause == RefusalCause::Limited && !self.has_asked && self.sends == 0
+    }
+
     /// The response after the last attempt; it says "not run" only if no attempt may have run.
     fn final_response(&self, refusal: RouteRefusal) -> Response {
         match &self.maybe_ran {
@@ -329,6 +367,7 @@
 ) -> NextStep {
     let server = &target.entry.id;
     let misdirected = head.status == 421;
+    record_rate_limit(host, target, head);
     if misdirected || head.headers.contains(platform::NOT_EXECUTED) {
         attempts.avoided.push(target.server);
         let outcome = if misdirected {
@@ -384,6 +423,22 @@
     NextStep::Done(Response::forwarded(head, body, request.is_bodiless()))
 }
 
+/// Takes in the limit that a response names. One that names none ends the limit only if the server
+/// has signed it: rejections and other servers at its address say nothing about the limit.
+fn record_rate_limit(host: &EntryHost, target: &Target, head: &ResponseHead) {
+    let headers = &head.headers;
+    match headers.get(platform::SERVER_LIMIT) {
+        Some(text) => host.with_router(|router, _| match platform::read_limit(text) {
+            Some(limit) => router.record_rate_limit(target, Some(limit)),
+            None => router.record_invalid_rate_limit(target, text),
+        }),
+        None if headers.contains(platform::UPSTREAM_SIGNATURE) => {
+            host.with_router(|router, _| router.record_rate_limit(target, None));
+        }
+        None => {}
+    }
+}
+
 /// Sends a request to a server and reads the response.
 async fn send(host: &EntryHost, request: &Request, target: &Target) -> SendResult {
     let entry = &target.entry;
