Fake server rejects lower fence tokens also after a release

The platform's servers answer 409 when they have seen a higher token on one of the keys; the fake compared only with what was held at that moment, so it had forgotten the higher token.

Change: the fake remembers the tokens that it has accepted. The fake is stricter towards late grants and otherwise the same.

--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -89,6 +89,8 @@
 pub struct ServerRecorder {
     executions: Arc<Mutex<Vec<Execution>>>,
     held: Arc<Mutex<Vec<HeldKeys>>>,
+    /// All grants that servers have accepted: a server rejects lower tokens also after a release.
+    accepted: Arc<Mutex<Vec<HeldKeys>>>,
     violations: Arc<Mutex<Vec<Violation>>>,
 }
 
@@ -119,12 +121,18 @@
         let overlaps = |other: &HeldKeys| {
             other.service == new.service && other.from <= new.to && new.from <= other.to
         };
-        if held
+        let mut accepted = lock(&self.accepted);
+        if accepted
             .iter()
             .any(|other| overlaps(other) && other.server == new.server && other.fence > new.fence)
         {
             return false;
         }
+        accepted.retain(|other| {
+            let is_covered = new.from <= other.from && other.to <= new.to;
+            other.server != new.server || other.service != new.service || !is_covered
+        });
+        accepted.push(new.clone());
         for other in held
             .iter()
             .filter(|other| overlaps(other) && other.server != new.server)
