Soak: configurations in time, limits of servers, connections that callers keep

The soak did not look at whether a configuration is in force in time or at the limits of servers, and opened a connection for each request.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,14 +1,19 @@
 //! Callers that send requests and record the answers.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
+use futures::FutureExt as _;
 use http_types::{Method, Request, Url};
 
 /// Time for which a caller waits for its answer.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Longest time for which callers use an idle connection: four fifths of the hosts' limit.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(12);
+
 /// The kind of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RequestKind {
@@ -18,8 +23,10 @@
     Pay,
     /// A payment that must run in region `east`, and at most once.
     Home,
-    /// A read on a route that only one version of the configuration has.
+    /// A read on a route that only the newest version of the configuration has.
     Version(u64),
+    /// A read on a route that the newest version has removed.
+    RemovedVersion(u64),
 }
 
 /// A request and its result.
@@ -36,17 +43,50 @@
     pub(crate) is_signed: bool,
 }
 
-/// Sends one request over a new connection.
+/// Connections to a host that callers have kept open.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Connections {
+    idle: Arc<Mutex<Vec<(TcpStream, Instant)>>>,
+}
+
+impl Connections {
+    /// Takes a kept connection, or opens one if none is left.
+    async fn take(&self, address: SocketAddr) -> Option<TcpStream> {
+        while let Some((stream, since)) = self.pop() {
+            let mut byte = [0];
+            let is_open = stream.peek(&mut byte).now_or_never().is_none();
+            if is_open && since.elapsed() < MAX_IDLE_TIME {
+                return Some(stream);
+            }
+        }
+        TcpStream::connect(address).await.ok()
+    }
+
+    fn pop(&self) -> Option<(TcpStream, Instant)> {
+        self.lock().pop()
+    }
+
+    fn keep(&self, stream: TcpStream) {
+        self.lock().push((stream, Instant::now()));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(TcpStream, Instant)>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends one request; callers keep their connections until the host closes them or is gone.
 pub(crate) async fn send_request(
     host: usize,
     address: SocketAddr,
+    connections: Connections,
     kind: RequestKind,
     id: String,
     key: u16,
 ) -> RequestResult {
     let sent_at = Instant::now();
-    let answer =
-        async_std::future::timeout(CALLER_TIMEOUT, exchange(address, kind, &id, key)).await;
+    let exchange = exchange(address, &connections, kind, &id, key);
+    let answer = async_std::future::timeout(CALLER_TIMEOUT, exchange).await;
     let answer = answer.ok().flatten();
     let is_signed = answer.as_ref().is_some_and(|(_, _, is_signed)| *is_signed);
     let answer = answer.map(|(status, body, _)| (status, body));
@@ -63,6 +103,7 @@
 
 async fn exchange(
     address: SocketAddr,
+    connections: &Connections,
     kind: RequestKind,
     id: &str,
     key: u16,
@@ -71,7 +112,9 @@
         RequestKind::Read => (Method::Get, "/read/x".to_owned()),
         RequestKind::Pay => (Method::Post, "/pay/x".to_owned()),
         RequestKind::Home => (Method::Post, "/home/x".to_owned()),
-        RequestKind::Version(version) => (Method::Get, format!("/v{version}/x")),
+        RequestKind::Version(version) | RequestKind::RemovedVersion(version) => {
+            (Method::Get, format!("/v{version}/x"))
+        }
     };
     let url = Url::parse(&format!("http://{address}{path}")).ok()?;
     let mut request = Request::new(method, url);
@@ -85,9 +128,15 @@
     if method == Method::Post {
         request.set_body(format!("order of {id}"));
     }
-    let stream = TcpStream::connect(address).await.ok()?;
-    let mut response = async_h1::connect(stream, request).await.ok()?;
+    let stream = connections.take(address).await?;
+    let mut response = async_h1::connect(stream.clone(), request).await.ok()?;
     let is_signed = response.header("Upstream-Signature").is_some();
+    let is_closing = response
+        .header("Connection")
+        .is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"));
     let body = response.body_string().await.ok()?;
+    if !is_closing {
+        connections.keep(stream);
+    }
     Some((u16::from(response.status()), body, is_signed))
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,5 +1,6 @@
 //! Host processes, with the fakes and proxies around them.
 
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Read as _};
 use std::net::SocketAddr;
@@ -9,11 +10,15 @@
 
 use amaranthshunt_support::free_address;
 use amaranthshunt_support::platform::{
-    FakeObjectStore, FakeUpstream, FaultProxy, ServerRecorder, UpstreamOptions,
+    FakeObjectStore, FakeUpstream, FaultProxy, LinkFault, ServerRecorder, StoreFault,
+    UpstreamOptions,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+use crate::callers::Connections;
+use crate::disturbances::Disturbances;
+
 /// The failure domains and their regions.
 pub(crate) const DOMAINS: [(&str, &str); 4] = [
     ("east-a", "east"),
@@ -36,8 +41,11 @@
     log_path: PathBuf,
     child: Option<Child>,
     pub(crate) is_paused: bool,
-    /// Start of each pause, and its end unless it still lasts.
-    pauses: Vec<(Instant, Option<Instant>)>,
+    pauses: Disturbances,
+    /// Everything that excuses the host, its pauses included.
+    pub(crate) disturbances: Disturbances,
+    /// Connections that callers have kept open.
+    pub(crate) connections: Connections,
 }
 
 impl HostProcess {
@@ -60,6 +68,7 @@
             .spawn()?;
         self.child = Some(child);
         self.end_pause();
+        self.disturbances.end();
         Ok(())
     }
 
@@ -87,26 +96,42 @@
             eprintln!("cannot send a signal to {}: {error}", self.name);
         }
         match signal {
-            Signal::STOP if !self.is_paused => {
+            Signal::STOP => {
                 self.is_paused = true;
-                self.pauses.push((Instant::now(), None));
+                self.pauses.begin();
+                self.disturbances.begin();
+            }
+            Signal::CONT => {
+                self.end_pause();
+                self.disturbances.end();
+            }
+            Signal::KILL => {
+                self.end_pause();
+                self.disturbances.begin();
             }
-            Signal::CONT | Signal::KILL => self.end_pause(),
+            Signal::TERM => self.disturbances.begin(),
             _ => {}
         }
     }
 
     fn end_pause(&mut self) {
-        self.is_paused = false;
-        if let Some((_, end)) = self.pauses.last_mut() {
-            end.get_or_insert_with(Instant::now);
+        if std::mem::take(&mut self.is_paused) {
+            self.pauses.end();
+        }
+    }
+
+    /// Sets the fault of the host's link to the store.
+    pub(crate) fn set_store_fault(&mut self, fault: LinkFault) {
+        self.store_proxy.set_fault(fault);
+        match fault {
+            LinkFault::None => self.disturbances.end(),
+            _ => self.disturbances.begin(),
         }
     }
 
     /// Whether the process was paused at any time between `from` and `to`.
     pub(crate) fn was_paused(&self, from: Instant, to: Instant) -> bool {
-        let mut pauses = self.pauses.iter();
-        pauses.any(|(start, end)| *start <= to && end.is_none_or(|end| end >= from))
+        self.pauses.overlap(from, to)
     }
 
     /// The log lines that contain a request ID.
@@ -134,6 +159,46 @@
     pub(crate) upstream: FakeUpstream,
     pub(crate) proxy: FaultProxy,
     pub(crate) is_up: bool,
+    /// Limits that it has named.
+    pub(crate) limits: Vec<NamedLimit>,
+    /// Faults of the links to it.
+    pub(crate) disturbances: Disturbances,
+}
+
+/// A limit that a server names for some time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NamedLimit {
+    /// Requests per second.
+    pub(crate) per_second: f64,
+    pub(crate) named: Instant,
+    /// When it ended; `None` while it lasts.
+    pub(crate) ended: Option<Instant>,
+}
+
+impl Server {
+    /// Sets the fault of the links to the server.
+    pub(crate) fn set_link_fault(&mut self, fault: LinkFault) {
+        self.proxy.set_fault(fault);
+        match fault {
+            LinkFault::None => self.disturbances.end(),
+            _ => self.disturbances.begin(),
+        }
+    }
+
+    /// Lets the server name a limit, or none.
+    pub(crate) fn set_limit(&mut self, per_second: Option<f64>) {
+        let now = Instant::now();
+        if let Some(limit) = self.limits.last_mut() {
+            limit.ended.get_or_insert(now);
+        }
+        let text = per_second.map(|number| number.to_string());
+        self.upstream.set_limit(text.as_deref());
+        self.limits.extend(per_second.map(|per_second| NamedLimit {
+            per_second,
+            named: now,
+            ended: None,
+        }));
+    }
 }
 
 /// All hosts, servers and the store of a run.
@@ -142,7 +207,11 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) store: FakeObjectStore,
     pub(crate) recorder: ServerRecorder,
+    /// Times in which the store did not answer as it should.
+    pub(crate) store_disturbances: Disturbances,
     pub(crate) config_version: u64,
+    /// When each version of the configuration was written.
+    pub(crate) config_writes: BTreeMap<u64, Instant>,
     work_dir: PathBuf,
 }
 
@@ -159,7 +228,9 @@
             servers: Vec::new(),
             store,
             recorder,
+            store_disturbances: Disturbances::default(),
             config_version: 1,
+            config_writes: BTreeMap::new(),
             work_dir,
         };
         deployment.write_next_config();
@@ -201,6 +272,8 @@
             upstream,
             proxy,
             is_up: true,
+            limits: Vec::new(),
+            disturbances: Disturbances::default(),
         });
         Ok(())
     }
@@ -246,12 +319,23 @@
             log_path,
             child: None,
             is_paused: false,
-            pauses: Vec::new(),
+            pauses: Disturbances::default(),
+            disturbances: Disturbances::default(),
+            connections: Connections::default(),
         };
         self.hosts.push(host);
         Ok(())
     }
 
+    /// Sets the fault of the store.
+    pub(crate) fn set_store_fault(&mut self, fault: StoreFault) {
+        self.store.set_fault(fault);
+        match fault {
+            StoreFault::None => self.store_disturbances.end(),
+            _ => self.store_disturbances.begin(),
+        }
+    }
+
     /// Writes the next version of the configuration, with a route that no other version has.
     pub(crate) fn write_next_config(&mut self) {
         self.config_version += 1;
@@ -276,6 +360,8 @@
             "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 1_048_576, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000 },
         });
         self.store.put("config", "main", spec, Value::Null);
+        let now = Instant::now();
+        self.config_writes.insert(self.config_version, now);
     }
 
     /// Kills all host processes and removes the work directory, unless its logs are to be kept.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -20,7 +20,7 @@
     let server = rng.random_range(0..deployment.servers.len());
     let name = deployment.hosts[host].name.clone();
     let id = deployment.servers[server].upstream.options().id.clone();
-    match rng.random_range(0..20) {
+    match rng.random_range(0..26) {
         0..=1 => {
             deployment.hosts[host].signal(Signal::KILL);
             format!("{name}: SIGKILL")
@@ -39,7 +39,7 @@
         }
         5..=6 => {
             let fault = random_link_fault(rng);
-            deployment.hosts[host].store_proxy.set_fault(fault);
+            deployment.hosts[host].set_store_fault(fault);
             format!("link from {name} to the store: {fault:?}")
         }
         7..=8 => {
@@ -50,14 +50,16 @@
                 StoreFault::Slow(200),
             ];
             let fault = faults[rng.random_range(0..faults.len())];
-            deployment.store.set_fault(fault);
+            deployment.set_store_fault(fault);
             format!("store: {fault:?}")
         }
         9 => {
             deployment.store.drop_history();
+            deployment.store_disturbances.end();
             "store: change history dropped".to_owned()
         }
         10..=11 if deployment.servers[server].is_up => {
+            deployment.servers[server].set_limit(None);
             deployment.servers[server].upstream.crash();
             deployment.servers[server].is_up = false;
             format!("{id}: crash")
@@ -79,14 +81,27 @@
         }
         15 => {
             let fault = random_link_fault(rng);
-            deployment.servers[server].proxy.set_fault(fault);
+            deployment.servers[server].set_link_fault(fault);
             format!("links to {id}: {fault:?}")
         }
-        16 => {
+        16..=18 => {
             deployment.write_next_config();
             format!("configuration version {}", deployment.config_version)
         }
-        17 => {
+        19..=20 => {
+            let limits = [0.0, 1.5, 3.0, 6.5];
+            let per_second = limits[rng.random_range(0..limits.len())];
+            deployment.servers[server].set_limit(Some(per_second));
+            format!("{id}: limit of {per_second} requests per second")
+        }
+        21 => {
+            deployment.hosts[host]
+                .store_proxy
+                .silence_open_connections();
+            deployment.hosts[host].disturbances.end();
+            format!("open connections from {name} to the store: silent")
+        }
+        22 => {
             let domain = DOMAINS[rng.random_range(0..DOMAINS.len())].0;
             deployment
                 .store
@@ -112,13 +127,14 @@
 
 /// Clears all faults, resumes paused hosts and starts everything that has ended.
 pub(crate) async fn clear_faults(deployment: &mut Deployment, program: &Path) {
-    deployment.store.set_fault(StoreFault::None);
+    deployment.set_store_fault(StoreFault::None);
     for (domain, _) in DOMAINS {
         deployment.store.remove("evacuations", domain);
     }
     for server in &mut deployment.servers {
-        server.proxy.set_fault(LinkFault::None);
+        server.set_link_fault(LinkFault::None);
         server.upstream.set_fault(UpstreamFault::None);
+        server.set_limit(None);
         if server.is_up {
             server.upstream.set_draining(false);
         } else if let Err(error) = server.upstream.restart().await {
@@ -128,7 +144,7 @@
         }
     }
     for process in &mut deployment.hosts {
-        process.store_proxy.set_fault(LinkFault::None);
+        process.set_store_fault(LinkFault::None);
         if process.is_paused {
             process.signal(Signal::CONT);
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,7 +5,9 @@
 //! reports every guarantee that was violated. `docs/soak.md` lists the seeds that were run.
 
 mod callers;
+mod checks;
 mod deployment;
+mod disturbances;
 mod faults;
 mod report;
 mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -40,6 +40,7 @@
         "FILE",
     );
     options.optflag("", "large", "use four times as many hosts and servers");
+    options.optflag("", "huge", "use sixteen times as many hosts and servers");
     options.optflag("h", "help", "print this help and exit");
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let matches = options.parse(&arguments).into_diagnostic()?;
@@ -60,7 +61,9 @@
             miette!("no amaranthshunt program next to this program; give its path with --program")
         })?,
     };
-    let size = if matches.opt_present("large") {
+    let size = if matches.opt_present("huge") {
+        Size::Huge
+    } else if matches.opt_present("large") {
         Size::Large
     } else {
         Size::Small
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::callers::{RequestKind, RequestResult};
+use crate::checks::{exceeded_limits, outdated_configuration};
 use crate::deployment::{DOMAINS, Deployment, ROUTE_TIMEOUT_MS};
 
 /// Time past a route's timeout within which a caller must have its answer; leaves room for a busy
@@ -56,8 +57,11 @@
         results: &[RequestResult],
         recovered_by: Instant,
     ) {
+        let all_executions = deployment.recorder.executions();
+        let limits = exceeded_limits(deployment, &all_executions, results);
+        self.findings.extend(limits);
         let mut executions: BTreeMap<String, Vec<String>> = BTreeMap::new();
-        for execution in deployment.recorder.executions() {
+        for execution in all_executions {
             executions
                 .entry(execution.request)
                 .or_default()
@@ -75,7 +79,9 @@
             let servers = executions.get(&request.id).unwrap_or(&none);
             let was_paused =
                 deployment.hosts[request.host].was_paused(request.sent_at, request.ended_at);
-            if let Some(text) = violated_guarantee(request, servers, was_paused) {
+            let violated = violated_guarantee(request, servers, was_paused)
+                .or_else(|| outdated_configuration(deployment, request));
+            if let Some(text) = violated {
                 self.add_finding(deployment, request, &text, servers);
             }
         }
@@ -149,7 +155,7 @@
     servers: &[String],
     was_paused: bool,
 ) -> Option<String> {
-    let idempotent = matches!(request.kind, RequestKind::Read | RequestKind::Version(_));
+    let idempotent = !matches!(request.kind, RequestKind::Pay | RequestKind::Home);
     if !idempotent && servers.len() > 1 {
         return Some("twice: it was executed more than once".to_owned());
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -34,6 +34,19 @@
     Small,
     /// 20 hosts, 32 servers.
     Large,
+    /// 80 hosts, 128 servers.
+    Huge,
+}
+
+impl Size {
+    /// Multiple of the small deployment.
+    fn scale(self) -> usize {
+        match self {
+            Self::Small => 1,
+            Self::Large => 4,
+            Self::Huge => 16,
+        }
+    }
 }
 
 /// Injects the faults that a seed determines for `fault_time`, then lets the deployment recover, and
@@ -48,7 +61,7 @@
     fault_time: Duration,
     size: Size,
 ) -> io::Result<Report> {
-    let scale = if size == Size::Large { 4 } else { 1 };
+    let scale = size.scale();
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut deployment = Deployment::start(program, 5 * scale, 4 * scale).await?;
     let results: Arc<Mutex<Vec<RequestResult>>> = Arc::default();
@@ -107,14 +120,16 @@
         0..=4 => RequestKind::Read,
         5..=7 => RequestKind::Pay,
         8 => RequestKind::Home,
+        _ if rng.random_ratio(1, 4) => RequestKind::RemovedVersion(deployment.config_version - 1),
         _ => RequestKind::Version(deployment.config_version),
     };
     let key = rng.random();
     let id = format!("{seed:04x}{number:08x}");
     let address = deployment.hosts[host].caller_address;
+    let connections = deployment.hosts[host].connections.clone();
     let results = results.clone();
     task::spawn(async move {
-        let result = send_request(host, address, kind, id, key).await;
+        let result = send_request(host, address, connections, kind, id, key).await;
         results
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
