Shares of demand are counted in one pass; no share is looked up without a limit

Cause: telling N hosts their shares added up N counts for each of them, and each candidate server had a share looked up whether or not it named a limit. A limit in a 421 of a service without keys may be that of another server at the address.

Change: totals by service are kept; whether there is a limit is asked first; such a 421 is passed over.

--- a/crates/core/src/front/demand_shares.rs
+++ b/crates/core/src/front/demand_shares.rs
@@ -10,6 +10,8 @@
 /// Half-life of the counts: long against the spread of single requests, short against the time in
 /// which callers move between hosts.
 const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Minimum time between two decays of the counts.
+const DECAY_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of requests below which shares say nothing.
 const MIN_REQUESTS: f64 = 50.0;
 /// Time in which requests are counted before shares are told: first shares that are corrected soon
@@ -28,10 +30,22 @@
 #[derive(Clone, Debug)]
 pub struct DemandShares {
     started: Time,
-    counts: BTreeMap<Arc<str>, BTreeMap<String, f64>>,
-    /// The share that each host was told last.
-    told: BTreeMap<Arc<str>, BTreeMap<String, f64>>,
     decayed_at: Time,
+    services: BTreeMap<Arc<str>, ServiceDemand>,
+}
+
+/// Decaying counts of the requests for one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceDemand {
+    total: f64,
+    hosts: BTreeMap<String, HostDemand>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct HostDemand {
+    requests: f64,
+    /// The share that the host was told last.
+    told: Option<f64>,
 }
 
 impl DemandShares {
@@ -39,17 +53,18 @@
     pub fn new(now: Time) -> Self {
         Self {
             started: now,
-            counts: BTreeMap::new(),
-            told: BTreeMap::new(),
             decayed_at: now,
+            services: BTreeMap::new(),
         }
     }
 
     /// Adds the requests that a host received for a service.
     pub fn record(&mut self, now: Time, host: &str, service: &Arc<str>, requests: u32) {
         self.decay(now);
-        let counts = self.counts.entry(service.clone()).or_default();
-        *counts.entry(host.to_owned()).or_default() += f64::from(requests);
+        let requests = f64::from(requests);
+        let demand = self.services.entry(service.clone()).or_default();
+        demand.total += requests;
+        demand.hosts.entry(host.to_owned()).or_default().requests += requests;
     }
 
     /// Tells a host its shares by service, from 0 to 1. Services of which too little is known are
@@ -58,60 +73,56 @@
     /// A share stays as it was told until it is clearly wrong: what one host may send no more and
     /// another may send already is sent twice within a window.
     pub fn tell(&mut self, host: &str) -> BTreeMap<Arc<str>, f64> {
-        let mut shares = BTreeMap::new();
-        let services: Vec<Arc<str>> = self.counts.keys().cloned().collect();
-        for service in services {
-            let Some(total) = self.known_total(&service) else {
-                continue;
-            };
-            let counts = self.counts.get(&service);
-            let own = counts.and_then(|counts| counts.get(host));
-            let share = own.copied().unwrap_or_default() / total;
-            let told = self.told.entry(service.clone()).or_default();
-            let told = told.entry(host.to_owned()).or_insert(share);
-            if (share - *told).abs() > *told * TOLERATED_CHANGE {
-                *told = share;
-            }
-            shares.insert(service.clone(), *told);
-        }
-        shares
-    }
-
-    /// Requests for a service, if these are enough to tell shares.
-    fn known_total(&self, service: &str) -> Option<f64> {
         let has_learned = self.decayed_at.since(self.started) >= LEARNING_TIME;
-        let total = self.counts.get(service)?.values().sum();
-        (has_learned && total >= MIN_REQUESTS).then_some(total)
+        let known = self
+            .services
+            .iter_mut()
+            .filter(|(_, demand)| has_learned && demand.total >= MIN_REQUESTS);
+        known
+            .map(|(service, demand)| (service.clone(), demand.tell(host)))
+            .collect()
     }
 
     /// Number of requests that all hosts together may send to a server with a limit without asking;
-    /// `hosts` hosts have equal parts where shares are not known.
+    /// `hosts` hosts have equal parts where no shares have been told.
     pub fn divided_requests(&self, service: &str, limit: RateLimit, hosts: usize) -> u32 {
-        match self.told.get(service) {
-            Some(told) => told
-                .values()
-                .map(|share| limit.divided_requests(*share))
-                .sum(),
-            None => {
-                let hosts = hosts.max(1);
-                limit.divided_requests(1.0 / hosts as f64) * hosts as u32
-            }
+        let demand = self.services.get(service);
+        let told = demand.into_iter().flat_map(|demand| demand.hosts.values());
+        let told: Vec<f64> = told.filter_map(|host| host.told).collect();
+        if told.is_empty() {
+            let hosts = hosts.max(1);
+            return limit.divided_requests(1.0 / hosts as f64) * hosts as u32;
         }
+        told.iter()
+            .map(|share| limit.divided_requests(*share))
+            .sum()
     }
 
     fn decay(&mut self, now: Time) {
         let age = now.since(self.decayed_at);
+        if age < DECAY_INTERVAL {
+            return;
+        }
         self.decayed_at = now;
         let factor = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        for counts in self.counts.values_mut() {
-            counts.retain(|_, count| {
-                *count *= factor;
-                *count >= FORGOTTEN_REQUESTS
+        for demand in self.services.values_mut() {
+            demand.total *= factor;
+            demand.hosts.retain(|_, host| {
+                host.requests *= factor;
+                host.requests >= FORGOTTEN_REQUESTS
             });
         }
-        for (service, told) in &mut self.told {
-            let counts = self.counts.get(service);
-            told.retain(|host, _| counts.is_some_and(|counts| counts.contains_key(host)));
+    }
+}
+
+impl ServiceDemand {
+    fn tell(&mut self, host: &str) -> f64 {
+        let host = self.hosts.entry(host.to_owned()).or_default();
+        let share = host.requests / self.total;
+        let told = host.told.get_or_insert(share);
+        if (share - *told).abs() > *told * TOLERATED_CHANGE {
+            *told = share;
         }
+        *told
     }
 }
--- a/crates/core/src/front/router/limits.rs
+++ b/crates/core/src/front/router/limits.rs
@@ -163,14 +163,14 @@
         server: ServerKey,
         plan: &RoutePlan,
     ) -> bool {
+        let Some(limit) = self.servers.get(server).and_then(|state| state.rate_limit) else {
+            return true;
+        };
         let share = self.demand_share(&plan.service, plan.keyed);
         let is_divided = plan.keyed && self.hears_shares(now);
         let Some(state) = self.servers.get_mut(server) else {
             return false;
         };
-        let Some(limit) = state.rate_limit else {
-            return true;
-        };
         if state.allowance_left(now) > 0 {
             return true;
         }
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -367,7 +367,10 @@
 ) -> NextStep {
     let server = &target.entry.id;
     let misdirected = head.status == 421;
-    record_rate_limit(host, target, head);
+    // Without keys, a misdirected request has met another server at the same address.
+    if !misdirected || request.plan.keyed {
+        record_rate_limit(host, target, head);
+    }
     if misdirected || head.headers.contains(platform::NOT_EXECUTED) {
         attempts.avoided.push(target.server);
         let outcome = if misdirected {
