--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -69,9 +69,14 @@
 
 /// A router of host `h1` in `east-a`, without configuration or servers.
 pub(crate) fn router() -> Router {
+    router_of("h1")
+}
+
+/// A router of a host in `east-a`, without configuration or servers.
+pub(crate) fn router_of(name: &str) -> Router {
     let regions = [("east-a", "east"), ("east-b", "east"), ("west-a", "west")];
     Router::new(RouterSettings {
-        name: "h1".to_owned(),
+        name: name.to_owned(),
         domain: "east-a".to_owned(),
         regions: regions
             .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
--- a/crates/core/tests/front/many_hosts.rs
+++ b/crates/core/tests/front/many_hosts.rs
@@ -10,13 +10,13 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, LoadReport, RoutePlan, Router, RouterSettings, ServerEntry, Target,
+    AttemptOutcome, LoadReport, RoutePlan, Router, ServerEntry, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
 
-use crate::fixture::{config, route, server};
+use crate::fixture::{config, route, router_of, server};
 
 const HOSTS: usize = 24;
 const SERVERS: usize = 22;
@@ -60,16 +60,7 @@
         plain.timeout = Duration::from_millis(TIMEOUT_MS);
         let config = Arc::new(config(1, vec![plain]));
         let host = |number: usize| {
-            let mut router = Router::new(RouterSettings {
-                name: format!("h{number}"),
-                domain: "east-a".to_owned(),
-                regions: [("east-a".to_owned(), "east".to_owned())].into(),
-                retry_ratio: 0.2,
-                retry_window: Duration::from_secs(10),
-                retry_slack: 60.0,
-                warm_factor: 1.5,
-                warm_slack: 5.0,
-            });
+            let mut router = router_of(&format!("h{number}"));
             router.update_config(config.clone());
             router.set_hosts(HOSTS);
             router.replace_servers(Time::from_millis(1_000), entries.clone());
--- a/crates/core/tests/front/rate_limits.rs
+++ b/crates/core/tests/front/rate_limits.rs
@@ -7,13 +7,13 @@
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
     AttemptOutcome, DemandShares, RateLimit, RateLimitReport, RatePool, RefusalCause, RoutePlan,
-    Router, RouterSettings, RoutingSpan, RoutingTable, Target,
+    Router, RoutingSpan, RoutingTable, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
 
-use crate::fixture::{KEYED, config, route, router, server};
+use crate::fixture::{KEYED, config, route, router, router_of, server};
 
 const SERVER: &str = "s1";
 const START_MS: u64 = 1_000;
@@ -87,16 +87,7 @@
             services: [(Arc::from(KEYED), vec![span])].into(),
         };
         let host = |number: usize| {
-            let mut router = Router::new(RouterSettings {
-                name: format!("h{number}"),
-                domain: "east-a".to_owned(),
-                regions: [("east-a".to_owned(), "east".to_owned())].into(),
-                retry_ratio: 0.2,
-                retry_window: Duration::from_secs(10),
-                retry_slack: 60.0,
-                warm_factor: 1.5,
-                warm_slack: 5.0,
-            });
+            let mut router = router_of(&format!("h{number}"));
             let mut entry_of_server = server(SERVER, KEYED, "east-a", 1);
             entry_of_server.slots = 1_000;
             router.update_config(entry.clone());
--- a/crates/front/src/allowances.rs
+++ b/crates/front/src/allowances.rs
@@ -1,4 +1,5 @@
-//! Asks the leader for more requests to servers that name limits.
+//! Limits on requests per second that servers name: reads them from responses, and asks the leader
+//! for more requests than this host's share allows.
 //!
 //! A host sends what its own share of a limit allows without asking. `docs/platform-path.md`,
 //! "Limits of servers", tells how the rest is divided.
@@ -8,9 +9,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use amaranthshunt_core::front::{RoutePlan, Target};
+use amaranthshunt_platform as platform;
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 
+use crate::entry_host::EntryHost;
+use crate::http::Headers;
 use crate::lock::lock;
 use crate::messages::{Allowance, LimitMessage, RequestAllowance};
 
@@ -77,3 +82,40 @@
         }
     }
 }
+
+/// Asks the leader whether the server with a key may get one more request than this host's share of
+/// its limit allows.
+pub(crate) async fn ask_allowance(host: &EntryHost, plan: &RoutePlan, key: Option<u16>) -> bool {
+    let limit = host.with_router(|router, now| router.negotiable_limit(now, plan, key));
+    let Some(limit) = limit else {
+        return false;
+    };
+    host.counters.allowances_asked.add();
+    let server = limit.server.clone();
+    let reply = match host.leader_state() {
+        Some(leader) => {
+            Some(host.with_router(|router, now| leader.count_out(router, now, &server)))
+        }
+        None => host.allowances.ask(LimitMessage::from(limit)).await,
+    };
+    let Some(reply) = reply else {
+        return false;
+    };
+    host.with_router(|router, now| router.record_allowance(now, &server, reply));
+    reply.is_ok()
+}
+
+/// Takes in the limit that a response names. One that names none ends the limit only if the server
+/// has signed it: rejections and other servers at its address say nothing about the limit.
+pub(crate) fn record_rate_limit(host: &EntryHost, target: &Target, headers: &Headers) {
+    match headers.get(platform::SERVER_LIMIT) {
+        Some(text) => host.with_router(|router, _| match platform::read_limit(text) {
+            Some(limit) => router.record_rate_limit(target, Some(limit)),
+            None => router.record_invalid_rate_limit(target, text),
+        }),
+        None if headers.contains(platform::UPSTREAM_SIGNATURE) => {
+            host.with_router(|router, _| router.record_rate_limit(target, None));
+        }
+        None => {}
+    }
+}
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -12,4 +12,4 @@
 pub(crate) use buffer_budget::BufferBudget;
 pub(crate) use connection::{Connection, within};
 pub(crate) use error::{HttpError, Result};
-pub(crate) use head::{RequestHead, ResponseHead};
+pub(crate) use head::{Headers, RequestHead, ResponseHead};
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -1,7 +1,9 @@
 //! Proxies one request to a server, with retries.
 
+mod send;
+
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
@@ -12,33 +14,16 @@
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
 
+use crate::allowances::{ask_allowance, record_rate_limit};
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::{Connection, HttpError, RequestHead, ResponseHead, within};
-use crate::messages::{LimitMessage, MissingKey};
+use crate::http::{RequestHead, ResponseHead};
+use crate::messages::MissingKey;
 use crate::response::Response;
+use send::{SendResult, send};
 
-/// Timeout for connecting to a server, after which the server counts as unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time that a server takes to accept a connection, in addition to the round trip.
-const ACCEPT_MARGIN: Duration = Duration::from_millis(2);
-/// Maximum time for which a new connection is observed before a request is sent on it.
-const MAX_PROBE_TIME: Duration = Duration::from_millis(80);
-/// Time past a request's deadline in which the server's own response may still arrive.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(80);
-/// Idle time of a connection whose server states none.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time before the server's own idle timeout at which a connection is no longer used.
-const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
-/// Longest response body that is accepted, in bytes; responses are buffered until they are
-/// complete.
-const RESPONSE_BODY_LIMIT: usize = 32 << 20;
-/// Longest body of a response without a signature, which is not forwarded as a success, in bytes.
-const UNSIGNED_BODY_LIMIT: usize = 64 << 10;
 /// Minimum time that must remain until the deadline for an attempt to start.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
-/// Responses to other requests that are skipped on one connection before it counts as broken.
-const STALE_RESPONSE_LIMIT: usize = 3;
 /// Failed connection attempts after which a request is given up.
 const UNREACHABLE_LIMIT: usize = 4;
 
@@ -104,22 +89,6 @@
     }
 }
 
-/// The result of sending a request to a server once.
-enum SendResult {
-    /// A complete response to this request.
-    Response(ResponseHead, Bytes),
-    /// No connection could be opened, so nothing was sent.
-    Unreachable,
-    /// The server ended the new connection before anything was sent.
-    Saturated,
-    /// Nothing was sent, since nobody would get the response.
-    Pointless(RefusalCause),
-    /// The connection failed; the request may have run.
-    Lost(HttpError),
-    /// The deadline passed; the request may have run.
-    TimedOut,
-}
-
 /// What to do after an attempt.
 enum NextStep {
     Done(Response),
@@ -155,7 +124,7 @@
             Ok(target) => target,
             Err(refusal) if attempts.may_ask(&refusal) => {
                 attempts.has_asked = true;
-                if ask_allowance(&host, &request).await {
+                if ask_allowance(&host, &request.plan, request.shard_key()).await {
                     continue;
                 }
                 host.counters.limited.add();
@@ -202,29 +171,6 @@
     }
 }
 
-/// Asks the leader whether the server with the request's key may get one more request than this
-/// host's share of its limit allows.
-async fn ask_allowance(host: &EntryHost, request: &Request) -> bool {
-    let key = request.shard_key();
-    let limit = host.with_router(|router, now| router.negotiable_limit(now, &request.plan, key));
-    let Some(limit) = limit else {
-        return false;
-    };
-    host.counters.allowances_asked.add();
-    let server = limit.server.clone();
-    let reply = match host.leader_state() {
-        Some(leader) => {
-            Some(host.with_router(|router, now| leader.count_out(router, now, &server)))
-        }
-        None => host.allowances.ask(LimitMessage::from(limit)).await,
-    };
-    let Some(reply) = reply else {
-        return false;
-    };
-    host.with_router(|router, now| router.record_allowance(now, &server, reply));
-    reply.is_ok()
-}
-
 /// The results of earlier attempts of a request.
 #[derive(Default)]
 struct Attempts {
@@ -369,7 +315,7 @@
     let misdirected = head.status == 421;
     // Without keys, a misdirected request has met another server at the same address.
     if !misdirected || request.plan.keyed {
-        record_rate_limit(host, target, head);
+        record_rate_limit(host, target, &head.headers);
     }
     if misdirected || head.headers.contains(platform::NOT_EXECUTED) {
         attempts.avoided.push(target.server);
@@ -425,119 +371,3 @@
     }
     NextStep::Done(Response::forwarded(head, body, request.is_bodiless()))
 }
-
-/// Takes in the limit that a response names. One that names none ends the limit only if the server
-/// has signed it: rejections and other servers at its address say nothing about the limit.
-fn record_rate_limit(host: &EntryHost, target: &Target, head: &ResponseHead) {
-    let headers = &head.headers;
-    match headers.get(platform::SERVER_LIMIT) {
-        Some(text) => host.with_router(|router, _| match platform::read_limit(text) {
-            Some(limit) => router.record_rate_limit(target, Some(limit)),
-            None => router.record_invalid_rate_limit(target, text),
-        }),
-        None if headers.contains(platform::UPSTREAM_SIGNATURE) => {
-            host.with_router(|router, _| router.record_rate_limit(target, None));
-        }
-        None => {}
-    }
-}
-
-/// Sends a request to a server and reads the response.
-async fn send(host: &EntryHost, request: &Request, target: &Target) -> SendResult {
-    let entry = &target.entry;
-    let remaining = request.deadline().since(clock::now());
-    let mut connection = match host.pool.take(entry) {
-        Some(connection) => connection,
-        None => {
-            let started = clock::now();
-            let opened = Connection::open(entry.address, CONNECT_TIMEOUT.min(remaining)).await;
-            let Ok(mut connection) = opened else {
-                return SendResult::Unreachable;
-            };
-            host.counters.connections_opened.add();
-            let round_trip = clock::now().since(started) + ACCEPT_MARGIN;
-            if target.probes_connection
-                && !connection.stays_open(round_trip.min(MAX_PROBE_TIME)).await
-            {
-                return SendResult::Saturated;
-            }
-            connection
-        }
-    };
-    let remaining = request.deadline().since(clock::now());
-    if request.caller_left.load(Ordering::Relaxed) {
-        return SendResult::Pointless(RefusalCause::CallerLeft);
-    }
-    if remaining < MIN_ATTEMPT_TIME {
-        return SendResult::Pointless(RefusalCause::Deadline);
-    }
-    let bytes = request.to_bytes(target, remaining);
-    let result = within(
-        remaining + RESPONSE_MARGIN,
-        receive(host, &mut connection, request, &bytes),
-    )
-    .await;
-    match result {
-        Ok(ReceivedResponse {
-            head,
-            body,
-            is_clean,
-        }) => {
-            if is_clean && head.keep_alive && !connection.has_buffered_data() {
-                let stated_timeout = head
-                    .headers
-                    .get(platform::KEEP_ALIVE)
-                    .and_then(platform::read_keep_alive);
-                let idle_timeout = stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
-                    timeout.saturating_sub(IDLE_MARGIN)
-                });
-                host.pool.keep(entry, connection, idle_timeout);
-            }
-            SendResult::Response(head, body)
-        }
-        Err(_) if clock::now() >= request.deadline() => SendResult::TimedOut,
-        Err(error) => SendResult::Lost(error),
-    }
-}
-
-/// A complete response to a request.
-struct ReceivedResponse {
-    head: ResponseHead,
-    body: Bytes,
-    /// Whether the request was sent completely and no response was skipped, so that the connection
-    /// may be reused.
-    is_clean: bool,
-}
-
-/// Sends a request and reads its response, skipping late responses to earlier requests.
-async fn receive(
-    host: &EntryHost,
-    connection: &mut Connection,
-    request: &Request,
-    bytes: &[u8],
-) -> crate::http::Result<ReceivedResponse> {
-    let bodiless = request.is_bodiless();
-    let (mut head, mut is_clean) = connection.exchange(bytes, bodiless).await?;
-    for _ in 0..STALE_RESPONSE_LIMIT {
-        let limit = if head.headers.contains(platform::UPSTREAM_SIGNATURE) {
-            RESPONSE_BODY_LIMIT
-        } else {
-            UNSIGNED_BODY_LIMIT
-        };
-        let account = host.response_buffers.open_account();
-        let body = connection
-            .read_accounted_body(head.framing, limit, account)
-            .await?;
-        let id = head.headers.get(platform::REQUEST_ID);
-        if id.is_none_or(|id| id == request.id) {
-            return Ok(ReceivedResponse {
-                head,
-                body,
-                is_clean,
-            });
-        }
-        is_clean = false;
-        head = connection.read_response(bodiless).await?;
-    }
-    Err(HttpError::Malformed("responses to other requests only"))
-}
--- /dev/null
+++ b/crates/front/src/proxy/send.rs
@@ -0,0 +1,149 @@
+//! Sends a request to a server once.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use amaranthshunt_core::front::{RefusalCause, Target};
+use amaranthshunt_platform as platform;
+use bytes::Bytes;
+
+use super::{MIN_ATTEMPT_TIME, Request};
+use crate::clock;
+use crate::entry_host::EntryHost;
+use crate::http::{Connection, HttpError, ResponseHead, within};
+
+/// Timeout for connecting to a server, after which the server counts as unreachable.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time that a server takes to accept a connection, in addition to the round trip.
+const ACCEPT_MARGIN: Duration = Duration::from_millis(2);
+/// Maximum time for which a new connection is observed before a request is sent on it.
+const MAX_PROBE_TIME: Duration = Duration::from_millis(80);
+/// Time past a request's deadline in which the server's own response may still arrive.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(80);
+/// Idle time of a connection whose server states none.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time before the server's own idle timeout at which a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
+/// Longest response body that is accepted, in bytes; responses are buffered until they are
+/// complete.
+const RESPONSE_BODY_LIMIT: usize = 32 << 20;
+/// Longest body of a response without a signature, which is not forwarded as a success, in bytes.
+const UNSIGNED_BODY_LIMIT: usize = 64 << 10;
+/// Responses to other requests that are skipped on one connection before it counts as broken.
+const STALE_RESPONSE_LIMIT: usize = 3;
+
+/// The result of sending a request to a server once.
+pub(super) enum SendResult {
+    /// A complete response to this request.
+    Response(ResponseHead, Bytes),
+    /// No connection could be opened, so nothing was sent.
+    Unreachable,
+    /// The server ended the new connection before anything was sent.
+    Saturated,
+    /// Nothing was sent, since nobody would get the response.
+    Pointless(RefusalCause),
+    /// The connection failed; the request may have run.
+    Lost(HttpError),
+    /// The deadline passed; the request may have run.
+    TimedOut,
+}
+
+/// Sends a request to a server and reads the response.
+pub(super) async fn send(host: &EntryHost, request: &Request, target: &Target) -> SendResult {
+    let entry = &target.entry;
+    let remaining = request.deadline().since(clock::now());
+    let mut connection = match host.pool.take(entry) {
+        Some(connection) => connection,
+        None => {
+            let started = clock::now();
+            let opened = Connection::open(entry.address, CONNECT_TIMEOUT.min(remaining)).await;
+            let Ok(mut connection) = opened else {
+                return SendResult::Unreachable;
+            };
+            host.counters.connections_opened.add();
+            let round_trip = clock::now().since(started) + ACCEPT_MARGIN;
+            if target.probes_connection
+                && !connection.stays_open(round_trip.min(MAX_PROBE_TIME)).await
+            {
+                return SendResult::Saturated;
+            }
+            connection
+        }
+    };
+    let remaining = request.deadline().since(clock::now());
+    if request.caller_left.load(Ordering::Relaxed) {
+        return SendResult::Pointless(RefusalCause::CallerLeft);
+    }
+    if remaining < MIN_ATTEMPT_TIME {
+        return SendResult::Pointless(RefusalCause::Deadline);
+    }
+    let bytes = request.to_bytes(target, remaining);
+    let result = within(
+        remaining + RESPONSE_MARGIN,
+        receive(host, &mut connection, request, &bytes),
+    )
+    .await;
+    match result {
+        Ok(ReceivedResponse {
+            head,
+            body,
+            is_clean,
+        }) => {
+            if is_clean && head.keep_alive && !connection.has_buffered_data() {
+                let stated_timeout = head
+                    .headers
+                    .get(platform::KEEP_ALIVE)
+                    .and_then(platform::read_keep_alive);
+                let idle_timeout = stated_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
+                    timeout.saturating_sub(IDLE_MARGIN)
+                });
+                host.pool.keep(entry, connection, idle_timeout);
+            }
+            SendResult::Response(head, body)
+        }
+        Err(_) if clock::now() >= request.deadline() => SendResult::TimedOut,
+        Err(error) => SendResult::Lost(error),
+    }
+}
+
+/// A complete response to a request.
+struct ReceivedResponse {
+    head: ResponseHead,
+    body: Bytes,
+    /// Whether the request was sent completely and no response was skipped, so that the connection
+    /// may be reused.
+    is_clean: bool,
+}
+
+/// Sends a request and reads its response, skipping late responses to earlier requests.
+async fn receive(
+    host: &EntryHost,
+    connection: &mut Connection,
+    request: &Request,
+    bytes: &[u8],
+) -> crate::http::Result<ReceivedResponse> {
+    let bodiless = request.is_bodiless();
+    let (mut head, mut is_clean) = connection.exchange(bytes, bodiless).await?;
+    for _ in 0..STALE_RESPONSE_LIMIT {
+        let limit = if head.headers.contains(platform::UPSTREAM_SIGNATURE) {
+            RESPONSE_BODY_LIMIT
+        } else {
+            UNSIGNED_BODY_LIMIT
+        };
+        let account = host.response_buffers.open_account();
+        let body = connection
+            .read_accounted_body(head.framing, limit, account)
+            .await?;
+        let id = head.headers.get(platform::REQUEST_ID);
+        if id.is_none_or(|id| id == request.id) {
+            return Ok(ReceivedResponse {
+                head,
+                body,
+                is_clean,
+            });
+        }
+        is_clean = false;
+        head = connection.read_response(bodiless).await?;
+    }
+    Err(HttpError::Malformed("responses to other requests only"))
+}
