Shares of demand are told at all times and outlive a leader (LIMIT)

Cause: a new leader tells no shares for 2 s, and hosts fell back to equal ones though they had used others; the same when a server begins to name a limit, since shares were told only while there was one.

Change: heartbeats have the shares at all times, and what an earlier leader has told stays in force until there is something newer.

--- a/crates/core/src/front/router/limits.rs
+++ b/crates/core/src/front/router/limits.rs
@@ -7,6 +7,7 @@
 use super::Router;
 use super::types::{RoutePlan, Target};
 use crate::front::rate_limit::RateLimit;
+use crate::front::rate_share::RateBound;
 use crate::front::servers::ServerState;
 use crate::ids::ServerKey;
 use crate::log::EventCode;
@@ -108,10 +109,12 @@
             .count()
     }
 
-    /// Sets this host's share of the requests for each service, from 0 to 1, as the leader has told
-    /// it, which also counts out what is not divided.
-    pub fn set_demand_shares(&mut self, now: Time, shares: BTreeMap<Arc<str>, f64>) {
-        self.demand_shares = shares;
+    /// Updates this host's share of the requests for each service, from 0 to 1, as told by the leader,
+    /// which also counts out what is not divided.
+    ///
+    /// A new leader knows no shares at first; those that the one before it has told stay in force.
+    pub fn update_demand_shares(&mut self, now: Time, shares: BTreeMap<Arc<str>, f64>) {
+        self.demand_shares.extend(shares);
         self.shares_told = now;
     }
 
@@ -166,37 +169,39 @@
         let Some(limit) = self.servers.get(server).and_then(|state| state.rate_limit) else {
             return true;
         };
-        let share = self.demand_share(&plan.service, plan.keyed);
-        let is_divided = plan.keyed && self.hears_shares(now);
+        let Some((bound, share)) = self.own_part(now, limit, plan) else {
+            let state = self.servers.get(server);
+            return state.is_some_and(|state| state.allowance_left(now) > 0);
+        };
         let Some(state) = self.servers.get_mut(server) else {
             return false;
         };
-        if state.allowance_left(now) > 0 {
-            return true;
-        }
-        let bound = if plan.keyed {
-            limit.divided_bound()
-        } else {
-            limit.bound()
-        };
-        let share = match limit.divided_requests(share) {
-            0 if is_divided => return false,
-            // Without the leader, too small a part is used at random times.
-            0 if plan.keyed => share.min(LOW_SHARE / bound.requests),
-            _ => share,
-        };
         let (phase, priority) = (1.0 - state.tie_break, plan.route.priority);
-        state
-            .rate_limiter
-            .allows_priority(now, bound, share, phase, priority)
+        state.allowance_left(now) > 0
+            || state
+                .rate_limiter
+                .allows_priority(now, bound, share, phase, priority)
     }
 
-    /// This host's share of the limits of a service's servers.
+    /// The bound of which this host has a part, and its share of it; `None` if the part is too small
+    /// to be divided in advance, so that the leader counts out all of it.
     ///
-    /// Requests without keys go to the nearest servers first, whatever the shares of demand are.
-    fn demand_share(&self, service: &str, keyed: bool) -> f64 {
-        let share = self.demand_shares.get(service).filter(|_| keyed);
-        share.copied().unwrap_or(1.0 / self.hosts as f64)
+    /// Requests without keys go to the nearest servers first, whatever the shares of demand are, and
+    /// are not asked for.
+    fn own_part(&self, now: Time, limit: RateLimit, plan: &RoutePlan) -> Option<(RateBound, f64)> {
+        let equal_share = 1.0 / self.hosts as f64;
+        if !plan.keyed {
+            return Some((limit.bound(), equal_share));
+        }
+        let bound = limit.divided_bound();
+        let share = self.demand_shares.get(&plan.service).copied();
+        let share = share.unwrap_or(equal_share);
+        if limit.divided_requests(share) > 0 {
+            return Some((bound, share));
+        }
+        // Without the leader, such a part is used at random times.
+        let is_alone = !self.hears_shares(now);
+        is_alone.then(|| (bound, share.min(LOW_SHARE / bound.requests)))
     }
 }
 
--- a/crates/core/tests/front/rate_limits.rs
+++ b/crates/core/tests/front/rate_limits.rs
@@ -63,6 +63,8 @@
     hosts: Vec<Router>,
     plan: RoutePlan,
     limit: RateLimit,
+    /// When the server begins to name its limit.
+    named: u64,
     leader: Option<Leader>,
     running: VecDeque<(u64, usize, Target)>,
     sent: Vec<u64>,
@@ -104,6 +106,7 @@
             hosts,
             plan: plan.unwrap(),
             limit: RateLimit::new(limit).unwrap(),
+            named: 0,
             leader: Some(Leader::new(0)),
             running: VecDeque::new(),
             sent: Vec::new(),
@@ -147,9 +150,12 @@
             let Some((_, host, target)) = self.running.pop_front() else {
                 return;
             };
-            self.told.entry(host).or_insert(now);
+            let limit = Some(self.limit).filter(|_| now >= self.named);
+            if limit.is_some() {
+                self.told.entry(host).or_insert(now);
+            }
             let router = &mut self.hosts[host];
-            router.record_rate_limit(&target, Some(self.limit));
+            router.record_rate_limit(&target, limit);
             let outcome = AttemptOutcome::Answered { success: true };
             router.record_outcome(Time::from_millis(now), &target, outcome, None);
         }
@@ -167,7 +173,7 @@
                 .record(time, &format!("h{host}"), &service, count);
         }
         for (number, host) in self.hosts.iter_mut().enumerate() {
-            host.set_demand_shares(time, leader.demand.tell(&format!("h{number}")));
+            host.update_demand_shares(time, leader.demand.tell(&format!("h{number}")));
         }
     }
 
@@ -246,17 +252,35 @@
     }
 }
 
-// Guards against LIMIT: a new leader would count out once more what the lost one has given out.
+// Guards against LIMIT: shares that are told only once a server names its limit replace equal ones,
+// of which hosts have used theirs already.
 #[test]
-fn limit_is_kept_when_the_leader_is_lost_and_replaced() {
+fn limit_is_kept_from_the_moment_on_at_which_a_server_names_it() {
+    for seed in 0..20 {
+        let mut simulation = Simulation::new(seed, &UNEVEN, 10.0);
+        simulation.named = 10_000;
+
+        simulation.run(START_MS, RUN_MS, 60.0);
+
+        let most = simulation.most_in_window();
+        assert!(most <= allowed(10.0), "seed {seed}: {most}");
+    }
+}
+
+// Guards against LIMIT: a new leader would count out once more what the lost one has given out.
+#[parameterized(
+    at_once = { 0 },
+    after_a_while = { 2_000 },
+)]
+fn limit_is_kept_when_the_leader_is_lost_and_replaced(pause: u64) {
     for seed in 0..20 {
         let mut simulation = Simulation::new(seed, &UNEVEN, 10.0);
         simulation.run(START_MS, 10_000, 60.0);
 
         simulation.leader = None;
-        simulation.run(10_000, 12_000, 60.0);
-        simulation.leader = Some(Leader::new(12_000));
-        simulation.run(12_000, RUN_MS, 60.0);
+        simulation.run(10_000, 10_000 + pause, 60.0);
+        simulation.leader = Some(Leader::new(10_000 + pause));
+        simulation.run(10_000 + pause, RUN_MS, 60.0);
 
         let most = simulation.most_in_window();
         assert!(most <= allowed(10.0), "seed {seed}: {most}");
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -57,12 +57,8 @@
         demand_shares: Vec::new(),
         counts_limits: true,
     };
-    if host.with_router(|router, _| router.rate_limit_count()) == 0 {
-        leader.broadcast(Body::Heartbeat(heartbeat));
-        return;
-    }
     let own = lock(&leader.demand).tell(&host.settings.name);
-    host.with_router(|router, now| router.set_demand_shares(now, own));
+    host.with_router(|router, now| router.update_demand_shares(now, own));
     leader.send_each(|follower| {
         let shares = lock(&leader.demand).tell(follower);
         let messages = shares.iter();
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -120,7 +120,7 @@
     /// Servers with more requests for their keys than they can serve.
     #[prost(message, repeated, tag = "7")]
     pub(crate) overloads: Vec<OverloadMessage>,
-    /// The receiver's share of the requests for each service, while servers name limits.
+    /// The receiver's share of the requests for each service.
     #[prost(message, repeated, tag = "8")]
     pub(crate) demand_shares: Vec<DemandShareMessage>,
     /// Whether the sender counts out what is left of servers' limits; see [`RequestAllowance`].
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -201,7 +201,7 @@
                     router.set_hosts(heartbeat.host_count as usize);
                     router.set_overloads(now, &overloads);
                     if heartbeat.counts_limits {
-                        router.set_demand_shares(now, shares);
+                        router.update_demand_shares(now, shares);
                     }
                 });
                 timeout(
