Logs and metrics tell the era of the store's history and why a leader ends

E1405 logs a change of Store-Era with the revisions known before, E1602 its reason, a gauge has the era. One place now calls the store and counts the call. No decision has changed.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -124,6 +124,8 @@
     ObjectUnreadable = 1403, Error, "object could not be read";
     /// A call that keeps the copy of a kind of object current failed.
     CopyNotUpdated = 1404, Info, "copy of the store is not updated";
+    /// The store has another history than before, since it was restored from a copy.
+    StoreEraChanged = 1405, Warn, "object store has another history";
     /// A request was answered, refused or aborted.
     RequestEnded = 1504, Info, "request ended";
     /// The host became the leader, which grants keys.
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -23,7 +23,8 @@
 use crate::messages::MissingKey;
 use crate::peers::LEADER_TIMEOUT;
 use crate::pool::Pool;
-use crate::store::StoreClient;
+use crate::store::{self, StoreClient, StoreResponse};
+use crate::watch::KINDS;
 
 /// Time after a stop signal in which requests are still forwarded: a later one could still be
 /// running when the process exits.
@@ -44,6 +45,8 @@
     /// Memory of incomplete responses of servers.
     pub(crate) response_buffers: BufferBudget,
     router: Mutex<Router>,
+    /// The latest era of the store that has been logged.
+    logged_era: AtomicU64,
     missing_keys: Mutex<Vec<MissingKey>>,
     delay: Mutex<HostDelay>,
     leaving: AtomicBool,
@@ -71,6 +74,7 @@
             allowances: Allowances::default(),
             response_buffers: BufferBudget::new(settings.response_memory()),
             router: Mutex::new(Router::new(settings.router())),
+            logged_era: AtomicU64::new(0),
             missing_keys: Mutex::default(),
             delay: Mutex::default(),
             leaving: AtomicBool::new(false),
@@ -110,6 +114,35 @@
         write_log(&self.settings.name, &LogRecord::new(code, subject, detail));
     }
 
+    /// Makes a call to the store; `wait` is how long the store may delay its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond, rejects the call or fails internally.
+    pub(crate) async fn call_store(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        wait: Duration,
+    ) -> store::Result<StoreResponse> {
+        self.counters.store_calls.add();
+        let result = self.store.call(method, path, body, wait).await;
+        self.log_store_era();
+        result
+    }
+
+    /// Logs a change of the store's era.
+    fn log_store_era(&self) {
+        let era = self.store.era();
+        let known = self.logged_era.fetch_max(era, Ordering::Relaxed);
+        if 0 < known && known < era {
+            let revisions = KINDS.map(|kind| self.freshness(kind).complete_revision());
+            let detail = format!("known up to revisions {revisions:?}");
+            self.log(EventCode::StoreEraChanged, format!("era {era}"), detail);
+        }
+    }
+
     /// How late the tasks of this host run.
     pub(crate) fn delay(&self) -> HostDelay {
         *lock(&self.delay)
@@ -148,6 +181,7 @@
         let gauges = Gauges {
             config_version: self.config_version(),
             config_age: self.copy_age(amaranthshunt_platform::CONFIG),
+            store_era: self.store.era(),
             limited_servers: self.with_router(|router, _| router.rate_limit_count()) as u64,
         };
         self.counters.to_text() + &gauges.to_text()
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -9,15 +9,18 @@
     pub(crate) config_version: u64,
     /// Time since the host's copy of the configuration was known to be complete.
     pub(crate) config_age: Duration,
+    /// Era of the store's history; 0 if none is known.
+    pub(crate) store_era: u64,
     /// Servers that name a limit.
     pub(crate) limited_servers: u64,
 }
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 3] = [
+    pub const NAMES: [&'static str; 4] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
+        "amaranthshunt_store_era",
         "amaranthshunt_limited_servers",
     ];
 
@@ -26,6 +29,7 @@
         let values = [
             u128::from(self.config_version),
             self.config_age.as_millis(),
+            u128::from(self.store_era),
             u128::from(self.limited_servers),
         ];
         let lines = Self::NAMES
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -10,7 +10,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -182,9 +181,8 @@
         }
         let spec = platform::write_host(&host.settings.domain, host.settings.peers_address());
         let path = platform::list_path(platform::HOSTS, None);
-        host.counters.store_calls.add();
         let body = platform::create_body(name, &spec);
-        match host.store.call("POST", &path, &body, Duration::ZERO).await {
+        match host.call_store("POST", &path, &body, Duration::ZERO).await {
             Ok(_) => return hosts,
             Err(error) => {
                 log::warn!("cannot register the host: {error}");
@@ -246,7 +244,7 @@
         record_revision: Mutex::new(revision),
         demand: Mutex::new(DemandShares::new(started)),
         pool: Mutex::new(RatePool::new(started)),
-        superseded: AtomicBool::new(false),
+        end_reason: Mutex::default(),
         started,
     });
     host.set_leader_state(Some(leader.clone()));
@@ -284,16 +282,13 @@
         task::sleep(TICK_INTERVAL).await;
         if host.is_leaving() {
             leader.broadcast(Body::Resign(true));
-            break;
+            leader.supersede("the host is leaving".to_owned());
         }
     }
-    leader.superseded.store(true, Ordering::Relaxed);
     host.set_leader_state(None);
-    host.log(
-        EventCode::GranterEnded,
-        &name,
-        format!("term {}", record.term),
-    );
+    let reason = leader.end_reason().unwrap_or_default();
+    let detail = format!("term {}, {reason}", record.term);
+    host.log(EventCode::GranterEnded, &name, detail);
 }
 
 /// Confirms that this host is still the leader: from its followers, or else from the store.
@@ -327,7 +322,8 @@
         if record.term == term {
             lock(&leader.granter).confirm(sent);
         } else {
-            leader.superseded.store(true, Ordering::Relaxed);
+            let reason = format!("the record has term {}", record.term);
+            leader.supersede(reason);
         }
     });
 }
@@ -372,8 +368,8 @@
                 lock(&leader.granter).mark_written(version);
                 return;
             }
-            WriteOutcome::Conflict => {
-                leader.superseded.store(true, Ordering::Relaxed);
+            WriteOutcome::Conflict(term) => {
+                leader.supersede(format!("a write of the record met one of term {term}"));
                 return;
             }
             WriteOutcome::Failed(error) => {
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -1,7 +1,6 @@
 //! State of the leader.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,7 +27,8 @@
     /// Requests that callers sent to each host.
     pub(super) demand: Mutex<DemandShares>,
     pub(super) pool: Mutex<RatePool>,
-    pub(super) superseded: AtomicBool,
+    /// Why this host leads no longer.
+    pub(super) end_reason: Mutex<Option<String>>,
     pub(super) started: Time,
 }
 
@@ -96,7 +96,7 @@
         let mut granter = lock(&self.granter);
         let now = clock::now();
         if report.term > granter.term() {
-            self.superseded.store(true, Ordering::Relaxed);
+            self.supersede(format!("host {name} knows of term {}", report.term));
         }
         for entry in report.key_counts {
             let service = Arc::from(entry.service.as_str());
@@ -160,8 +160,18 @@
         !self.is_superseded() && lock(&self.granter).is_confirmed(now)
     }
 
+    /// Ends the leadership for the reason given, unless it has ended already.
+    pub(super) fn supersede(&self, reason: String) {
+        lock(&self.end_reason).get_or_insert(reason);
+    }
+
+    /// Why this host leads no longer; `None` while it does.
+    pub(super) fn end_reason(&self) -> Option<String> {
+        lock(&self.end_reason).clone()
+    }
+
     pub(super) fn is_superseded(&self) -> bool {
-        self.superseded.load(Ordering::Relaxed)
+        lock(&self.end_reason).is_some()
     }
 }
 
--- a/crates/front/src/leadership/record.rs
+++ b/crates/front/src/leadership/record.rs
@@ -16,8 +16,7 @@
 
 pub(super) async fn read_record(host: &EntryHost) -> Result<Option<(Placement, u64)>, StoreError> {
     let path = platform::object_path(platform::PLACEMENTS, RECORD_NAME);
-    host.counters.store_calls.add();
-    let response = host.store.call("GET", &path, &[], Duration::ZERO).await?;
+    let response = host.call_store("GET", &path, &[], Duration::ZERO).await?;
     if response.status == 404 {
         return Ok(None);
     }
@@ -30,8 +29,7 @@
 /// be seen, and creating it again does no harm.
 pub(super) async fn record_exists(host: &EntryHost) -> bool {
     let path = platform::stale_path(&platform::object_path(platform::PLACEMENTS, RECORD_NAME));
-    host.counters.store_calls.add();
-    let response = host.store.call("GET", &path, &[], Duration::ZERO).await;
+    let response = host.call_store("GET", &path, &[], Duration::ZERO).await;
     response.is_ok_and(|response| response.status == 200)
 }
 
@@ -55,8 +53,7 @@
     let record = first_record(host);
     let path = platform::list_path(platform::PLACEMENTS, None);
     let body = platform::create_body(RECORD_NAME, &platform::write_placement(&record));
-    host.counters.store_calls.add();
-    match host.store.call("POST", &path, &body, Duration::ZERO).await {
+    match host.call_store("POST", &path, &body, Duration::ZERO).await {
         Ok(response) if response.status < 300 => {
             Some(platform::read_object(&response.body).ok()?.revision)
         }
@@ -84,7 +81,7 @@
     };
     match replace_record(host, &record, revision).await {
         WriteOutcome::Done(revision) => Some((record, revision)),
-        WriteOutcome::Conflict => None,
+        WriteOutcome::Conflict(_) => None,
         WriteOutcome::Failed(error) => {
             log::warn!("cannot take over the placement record: {error}");
             task::sleep(STORE_RETRY_DELAY).await;
@@ -96,8 +93,8 @@
 pub(super) enum WriteOutcome {
     /// The record was written and has this revision.
     Done(u64),
-    /// Another host has written the record.
-    Conflict,
+    /// The stored record, which has this term, is another one than expected.
+    Conflict(u64),
     /// The record was not written, or the result is unknown.
     Failed(String),
 }
@@ -110,8 +107,7 @@
     let path = platform::object_path(platform::PLACEMENTS, RECORD_NAME);
     let spec = platform::write_placement(record);
     let body = platform::replace_body(RECORD_NAME, revision, &spec);
-    host.counters.store_calls.add();
-    let response = match host.store.call("PUT", &path, &body, Duration::ZERO).await {
+    let response = match host.call_store("PUT", &path, &body, Duration::ZERO).await {
         Ok(response) => response,
         Err(error) => return WriteOutcome::Failed(format!("{error}")),
     };
@@ -119,7 +115,7 @@
         // A conflict with an equal record means that an earlier write succeeded, but its response
         // was lost.
         Ok((stored, revision)) if stored == *record => WriteOutcome::Done(revision),
-        Ok(_) => WriteOutcome::Conflict,
+        Ok((stored, _)) => WriteOutcome::Conflict(stored.term),
         Err(message) => WriteOutcome::Failed(format!("status {}: {message}", response.status)),
     }
 }
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
+use amaranthshunt_platform as platform;
 use async_std::future::timeout;
 use bytes::Bytes;
 
@@ -84,6 +86,8 @@
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
     health: Mutex<Health>,
+    /// The latest era of the store's history that is known.
+    era: AtomicU64,
 }
 
 impl StoreClient {
@@ -93,6 +97,7 @@
             address,
             idle: Mutex::default(),
             health: Mutex::default(),
+            era: AtomicU64::new(0),
         }
     }
 
@@ -127,6 +132,11 @@
         result
     }
 
+    /// The latest era of the store's history that is known; 0 if none is.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     /// How long the store has been unreachable; `None` while it responds.
     pub(crate) fn outage(&self) -> Option<Duration> {
         let health = lock(&self.health);
@@ -177,6 +187,9 @@
             .await
             .map_err(|_| unknown(format!("no response within {} ms", limit.as_millis())))?
             .map_err(|error| unknown(error.to_string()))?;
+        let era = head.headers.get(platform::STORE_ERA);
+        let era = era.and_then(platform::read_era).unwrap_or_default();
+        self.era.fetch_max(era, Ordering::Relaxed);
         let body = connection.read_body(head.framing, RESPONSE_BODY_LIMIT);
         let body = within(BODY_TIMEOUT, body)
             .await
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -138,8 +138,7 @@
     path: &str,
     wait: Duration,
 ) -> Result<StoreResponse, StoreError> {
-    host.counters.store_calls.add();
-    host.store.call("GET", path, &[], wait).await
+    host.call_store("GET", path, &[], wait).await
 }
 
 /// How current the result of a read has to be.
