A restored store's revisions are told from those of its earlier history (CONFIG)

What callers saw: for seconds after the store came back from a copy, confirmed configurations were not in force on any host, changes of servers neither. Cause: revisions were compared as plain numbers. After a restore they start again below what hosts know, so each answer passed for an old one until the numbers had passed the former ones. Change: StoreRevision orders by era and number; the client of the store makes it, heartbeats and relayed changes carry the era. A response of an earlier era is none; a copy of an earlier era is read anew whole, and the leader relays the whole list. For 4 s after that, what is missing counts as not yet written again, and what had left does not come back. Why it works: the pair is ordered over all histories, so newer data always compares as newer.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -21,6 +21,7 @@
 mod router;
 mod servers;
 mod settings;
+mod store_revision;
 mod transit_delay;
 mod weighted_split;
 
@@ -43,5 +44,6 @@
 };
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
 pub use settings::FrontSettings;
+pub use store_revision::StoreRevision;
 pub use transit_delay::TransitDelay;
 pub use weighted_split::WeightedSplitter;
--- a/crates/core/src/front/freshness.rs
+++ b/crates/core/src/front/freshness.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use super::store_revision::StoreRevision;
 use crate::time::Time;
 
 /// Maximum time since the store last answered the leader; beyond it, a host queries the store
@@ -35,12 +36,12 @@
 /// has announced.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
-    complete: u64,
-    change: u64,
+    complete: StoreRevision,
+    change: StoreRevision,
     last_answer: Time,
     /// When this host last read anything from the store, be it stale.
     read_at: Time,
-    announced: u64,
+    announced: StoreRevision,
     announced_at: Time,
     confirmed_at: Option<Time>,
     /// The latest time at which nothing was missing.
@@ -51,7 +52,12 @@
     /// Records an answer of the store that is complete up to the revision `complete`.
     ///
     /// `change` is the revision of the last change in the answer, if there was one.
-    pub fn record_read(&mut self, now: Time, complete: u64, change: Option<u64>) {
+    pub fn record_read(
+        &mut self,
+        now: Time,
+        complete: StoreRevision,
+        change: Option<StoreRevision>,
+    ) {
         self.complete = self.complete.max(complete);
         self.change = self.change.max(change.unwrap_or_default());
         self.last_answer = now;
@@ -61,14 +67,27 @@
 
     /// Records a read that may be some seconds old: it is complete up to its revision, but says
     /// nothing about what has changed since.
-    pub fn record_stale_read(&mut self, now: Time, complete: u64) {
+    pub fn record_stale_read(&mut self, now: Time, complete: StoreRevision) {
         self.read_at = now;
         self.complete = self.complete.max(complete);
         self.change = self.change.max(complete);
     }
 
+    /// Records that the store does not have the history since the known revision, so that everything
+    /// has to be read again.
+    pub fn record_history_lost(&mut self) {
+        self.complete = StoreRevision::default();
+    }
+
+    /// Records that all objects as of a revision were relayed.
+    pub fn record_relayed_list(&mut self, to: StoreRevision) -> RelayStatus {
+        self.record_relay(self.complete, to)
+    }
+
     /// Records that the changes between two revisions were relayed.
-    pub fn record_relay(&mut self, from: u64, to: u64) -> RelayStatus {
+    ///
+    /// Changes of another era than that of what is known do not follow it.
+    pub fn record_relay(&mut self, from: StoreRevision, to: StoreRevision) -> RelayStatus {
         if to <= self.complete {
             return RelayStatus::Known;
         }
@@ -82,7 +101,7 @@
 
     /// Records the last change that the leader has seen; `age` is the time since the store last
     /// answered the leader, including what the leader's message was delayed on its way.
-    pub fn record_announcement(&mut self, now: Time, change: u64, age: Duration) {
+    pub fn record_announcement(&mut self, now: Time, change: StoreRevision, age: Duration) {
         if change > self.announced {
             self.announced = change;
             self.announced_at = now;
@@ -97,7 +116,7 @@
 
     /// Records a change that the leader announces without relaying its full content, so that it has
     /// to be read from the store at once.
-    pub fn require_read(&mut self, now: Time, change: u64) {
+    pub fn require_read(&mut self, now: Time, change: StoreRevision) {
         self.announced = self.announced.max(change);
         let backdated = now
             .as_micros()
@@ -107,17 +126,17 @@
 
     /// Whether an answer of the store up to `revision` is older than what is known, since the leader
     /// has relayed changes while it was on its way.
-    pub fn is_outdated(&self, revision: u64) -> bool {
+    pub fn is_outdated(&self, revision: StoreRevision) -> bool {
         revision < self.complete
     }
 
     /// The revision up to which no change is missing.
-    pub fn complete_revision(&self) -> u64 {
+    pub fn complete_revision(&self) -> StoreRevision {
         self.complete
     }
 
     /// The revision of the last known change.
-    pub fn change_revision(&self) -> u64 {
+    pub fn change_revision(&self) -> StoreRevision {
         self.change
     }
 
@@ -132,9 +151,14 @@
         now.since(self.complete_at)
     }
 
+    /// Whether this host has never read from the store.
+    pub fn is_unread(&self) -> bool {
+        self.read_at == Time::ZERO
+    }
+
     /// Whether this host has read from the store so lately that it need not do so again yet.
     pub fn was_read_lately(&self, now: Time) -> bool {
-        self.read_at != Time::ZERO && now.since(self.read_at) < MAX_READ_AGE
+        !self.is_unread() && now.since(self.read_at) < MAX_READ_AGE
     }
 
     /// Whether a change that the leader has seen has been missing for too long.
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod selection;
+mod settling;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,7 @@
 use crate::time::Time;
 
 pub use limits::RateLimitReport;
+use settling::Settling;
 pub use types::{AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target};
 
 /// How long a server whose entry expired during a store outage has to register again.
@@ -55,6 +57,7 @@
     hosts: usize,
     /// Until when an entry that is missing from the store may be registered again.
     reregistration_until: Time,
+    settling: Settling,
     splitter: WeightedSplitter,
     retry_budget: RetryBudgetShare,
     key_counts: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
@@ -90,6 +93,7 @@
             table: RoutingTable::default(),
             hosts: ASSUMED_HOSTS,
             reregistration_until: Time::ZERO,
+            settling: Settling::default(),
             splitter: WeightedSplitter::default(),
             retry_budget,
             key_counts: BTreeMap::new(),
@@ -187,6 +191,7 @@
 
     /// Sets the failure domains that operators have taken out of service.
     pub fn set_evacuated(&mut self, now: Time, domains: BTreeSet<String>) {
+        let domains = self.settle_domains(now, domains);
         for domain in domains.difference(&self.evacuated) {
             self.log
                 .push(LogRecord::new(EventCode::DomainOut, domain, ""));
@@ -195,6 +200,7 @@
         for domain in restored {
             self.log
                 .push(LogRecord::new(EventCode::DomainBack, &domain, ""));
+            self.settling.record_return(now, &domain);
             self.mark_domain_cold(now, &domain);
         }
         self.evacuated = domains;
@@ -220,6 +226,10 @@
 
     /// Applies the current store entry of a server.
     pub fn upsert_server(&mut self, now: Time, entry: ServerEntry) {
+        if self.hold_back(now, &entry) {
+            return;
+        }
+        self.settling.record_arrival(&entry.id);
         self.pending_removals.remove(&entry.id);
         let service = self
             .config
@@ -245,6 +255,7 @@
     /// Entries expire while the store is down, and servers register again within two seconds of its
     /// return, so a removal right after an outage takes effect only after that time.
     pub fn remove_server(&mut self, now: Time, id: &str) {
+        self.settling.record_removal(id);
         let Some(key) = self.servers.find(id) else {
             return;
         };
@@ -255,8 +266,17 @@
                 .or_insert(self.reregistration_until);
             return;
         }
+        self.drop_server(now, key, "entry removed from the store");
+    }
+
+    fn drop_server(&mut self, now: Time, key: ServerKey, reason: &str) {
+        let Some(state) = self.servers.get(key) else {
+            return;
+        };
+        let (id, start_id) = (state.entry.id.clone(), state.entry.start_id);
+        self.settling.record_departure(now, &id, start_id);
         self.servers.remove(key);
-        self.log_event(EventCode::ServerGone, id, "entry removed from the store");
+        self.log_event(EventCode::ServerGone, &*id, reason);
     }
 
     /// Replaces the complete list of servers; returns the differences to the previous one.
@@ -277,8 +297,10 @@
             entries: changed,
             removed: removed.collect(),
         };
-        let removed = changes.removed.clone();
-        self.apply_server_changes(now, ServerChanges { entries, removed });
+        for entry in entries {
+            self.upsert_server(now, entry);
+        }
+        self.handle_missing(now, &changes.removed);
         self.initialized = true;
         changes
     }
@@ -310,21 +332,19 @@
         self.reregistration_until.since(now)
     }
 
-    /// Removes servers whose time to register again has passed.
+    /// Removes servers whose time to register again has passed, and applies what was held back after
+    /// a restore of the store.
     pub fn tick(&mut self, now: Time) {
         let due = self.pending_removals.iter().filter(|(_, at)| **at <= now);
         let due: Vec<Arc<str>> = due.map(|(id, _)| id.clone()).collect();
         for id in due {
             self.pending_removals.remove(&id);
             if let Some(key) = self.servers.find(&id) {
-                self.servers.remove(key);
-                self.log_event(
-                    EventCode::ServerGone,
-                    &*id,
-                    "entry not registered again after a store outage",
-                );
+                let reason = "entry not registered again after a store outage";
+                self.drop_server(now, key, reason);
             }
         }
+        self.end_settling(now);
     }
 
     /// Records how an attempt ended, and the load that the server reported.
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -132,13 +132,19 @@
         result
     }
 
+    /// Takes note of an era of the store that another host knows of.
+    pub(crate) fn learn_store_era(&self, era: u64) {
+        self.store.learn_era(era);
+        self.log_store_era();
+    }
+
     /// Logs a change of the store's era.
     fn log_store_era(&self) {
         let era = self.store.era();
         let known = self.logged_era.fetch_max(era, Ordering::Relaxed);
         if 0 < known && known < era {
-            let revisions = KINDS.map(|kind| self.freshness(kind).complete_revision());
-            let detail = format!("known up to revisions {revisions:?}");
+            let revisions = KINDS.map(|kind| self.freshness(kind).complete_revision().to_string());
+            let detail = format!("known up to revisions {}", revisions.join(", "));
             self.log(EventCode::StoreEraChanged, format!("era {era}"), detail);
         }
     }
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of the leader.
 
 use amaranthshunt_core::Time;
+use amaranthshunt_core::front::StoreRevision;
 
 use super::LeaderState;
 use crate::entry_host::EntryHost;
@@ -26,6 +27,7 @@
             missing,
             term: 0,
             limits: Vec::new(),
+            store_era: host.store.era(),
         },
     );
     let member_count = lock(&leader.members).len();
@@ -40,15 +42,15 @@
     });
     let overloads = lock(&leader.granter).overloads().to_vec();
     host.with_router(|router, now| router.set_overloads(now, &overloads));
+    let changes = KINDS.map(|kind| host.freshness(kind).change_revision());
     let heartbeat = Heartbeat {
         term,
         sent_at: now.as_micros(),
         host_count: host_count as u32,
         store_reachable: host.store.outage().is_none(),
-        changes: KINDS
-            .iter()
-            .map(|kind| host.freshness(kind).change_revision())
-            .collect(),
+        changes: changes.map(StoreRevision::number).to_vec(),
+        change_eras: changes.map(StoreRevision::era).to_vec(),
+        store_era: host.store.era(),
         ages_ms: KINDS
             .iter()
             .map(|kind| host.freshness(kind).age(now).as_millis() as u64)
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::front::{
-    Overload, RateLimit, RateLimitReport, RoutingSpan, RoutingTable, ServerEntry,
+    Overload, RateLimit, RateLimitReport, RoutingSpan, RoutingTable, ServerEntry, StoreRevision,
 };
 use async_std::net::TcpStream;
 use bytes::Bytes;
@@ -126,6 +126,21 @@
     /// Whether the sender counts out what is left of servers' limits; see [`RequestAllowance`].
     #[prost(bool, tag = "9")]
     pub(crate) counts_limits: bool,
+    /// The latest era of the store's history that the sender knows of.
+    #[prost(uint64, tag = "10")]
+    pub(crate) store_era: u64,
+    /// The era of each revision in `changes`.
+    #[prost(uint64, repeated, tag = "11")]
+    pub(crate) change_eras: Vec<u64>,
+}
+
+impl Heartbeat {
+    /// The revisions in `changes`, with their eras.
+    pub(crate) fn change_revisions(&self) -> impl Iterator<Item = StoreRevision> {
+        let eras = self.change_eras.iter();
+        let changes = self.changes.iter().zip(eras);
+        changes.map(|(change, era)| StoreRevision::new(*era, *change))
+    }
 }
 
 /// A host's share of the requests for a service.
@@ -202,6 +217,12 @@
     /// Milliseconds in which removed entries may still reappear after an outage of the store.
     #[prost(uint64, tag = "7")]
     pub(crate) reregistration_ms: u64,
+    /// The era of the store's history that the revisions belong to.
+    #[prost(uint64, tag = "8")]
+    pub(crate) era: u64,
+    /// Whether `entries` and `domains` are all objects as of `to`, which `from` does not precede.
+    #[prost(bool, tag = "9")]
+    pub(crate) is_list: bool,
 }
 
 /// A server's entry in the store.
@@ -273,6 +294,9 @@
     /// Servers whose responses have named a limit or ended one.
     #[prost(message, repeated, tag = "5")]
     pub(crate) limits: Vec<LimitMessage>,
+    /// The latest era of the store's history that the sender knows of.
+    #[prost(uint64, tag = "6")]
+    pub(crate) store_era: u64,
 }
 
 /// The limit of a server on requests per second.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -90,6 +90,7 @@
                 .ok()
                 .flatten(),
             Either::Right(Some(Body::Report(mut report))) => {
+                host.learn_store_era(report.store_era);
                 apply_rate_limits(host, std::mem::take(&mut report.limits));
                 leader.handle_report(&hello.name, report);
                 Some(())
@@ -185,10 +186,11 @@
             Body::Heartbeat(heartbeat) if heartbeat.term == term => {
                 host.note_leader_heard();
                 let delay = transit.record(Time::from_micros(heartbeat.sent_at), clock::now());
-                let states = heartbeat.changes.iter().zip(&heartbeat.ages_ms);
+                host.learn_store_era(heartbeat.store_era);
+                let states = heartbeat.change_revisions().zip(&heartbeat.ages_ms);
                 for (kind, (change, age)) in KINDS.iter().zip(states) {
                     let age = Duration::from_millis(*age) + delay;
-                    host.update_freshness(kind, |f, now| f.record_announcement(now, *change, age));
+                    host.update_freshness(kind, |f, now| f.record_announcement(now, change, age));
                 }
                 let overloads: Vec<Overload> =
                     heartbeat.overloads.iter().map(Overload::from).collect();
@@ -247,6 +249,7 @@
             .into_iter()
             .map(LimitMessage::from)
             .collect(),
+        store_era: host.store.era(),
     }
 }
 
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
+use amaranthshunt_core::front::StoreRevision;
 use amaranthshunt_platform as platform;
 use async_std::future::timeout;
 use bytes::Bytes;
@@ -66,6 +67,15 @@
     pub(crate) status: u16,
     /// The complete response body.
     pub(crate) body: Bytes,
+    /// The era of the history that the response belongs to; 0 if the store states none.
+    era: u64,
+}
+
+impl StoreResponse {
+    /// The place in the store's history of a revision in the body.
+    pub(crate) fn revision(&self, number: u64) -> StoreRevision {
+        StoreRevision::new(self.era, number)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -137,6 +147,11 @@
         self.era.load(Ordering::Relaxed)
     }
 
+    /// Takes note of an era that another host knows of, or that a response names.
+    pub(crate) fn learn_era(&self, era: u64) {
+        self.era.fetch_max(era, Ordering::Relaxed);
+    }
+
     /// How long the store has been unreachable; `None` while it responds.
     pub(crate) fn outage(&self) -> Option<Duration> {
         let health = lock(&self.health);
@@ -189,7 +204,7 @@
             .map_err(|error| unknown(error.to_string()))?;
         let era = head.headers.get(platform::STORE_ERA);
         let era = era.and_then(platform::read_era).unwrap_or_default();
-        self.era.fetch_max(era, Ordering::Relaxed);
+        self.learn_era(era);
         let body = connection.read_body(head.framing, RESPONSE_BODY_LIMIT);
         let body = within(BODY_TIMEOUT, body)
             .await
@@ -206,7 +221,12 @@
                 "failed with status {}",
                 head.status
             ))),
-            status => Ok(StoreResponse { status, body }),
+            // What was read or written in an earlier era may be lost by now.
+            _ if era < self.era() => Err(StoreError::Unknown(format!(
+                "response of era {era}, known era {}",
+                self.era()
+            ))),
+            status => Ok(StoreResponse { status, body, era }),
         }
     }
 
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{RelayStatus, ServerChanges, ServerEntry};
+use amaranthshunt_core::front::{RelayStatus, ServerChanges, ServerEntry, StoreRevision};
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform::{self as platform, Change, Kind, StoreObject};
 use async_std::task;
@@ -36,6 +36,9 @@
 /// Duration of an outage of the store after which entries may have expired.
 const EXPIRY_OUTAGE: Duration = Duration::from_millis(1_200);
 
+/// The era of a store that has never been restored.
+const FIRST_ERA: u64 = 1;
+
 /// Reads a kind and follows its changes until the task is cancelled.
 pub(crate) async fn follow_kind(host: Arc<EntryHost>, kind: Kind) {
     let mut is_current = false;
@@ -126,7 +129,8 @@
 async fn fetch(host: &EntryHost, kind: Kind, is_current: bool) -> Result<Fetched, StoreError> {
     // The configuration is a single object: reading it is shorter than the changes that led to it.
     let must_read_config = kind == platform::CONFIG && host.is_behind(kind);
-    if !is_current || must_read_config {
+    let is_same_history = host.freshness(kind).complete_revision().era() == host.store.era();
+    if !is_current || must_read_config || !is_same_history {
         read_all(host, kind).await.map(|()| Fetched::Complete)
     } else {
         watch(host, kind).await
@@ -155,7 +159,7 @@
     host: &EntryHost,
     kind: Kind,
     consistency: Consistency,
-) -> Result<(Vec<StoreObject>, u64), StoreError> {
+) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
     let mut objects = Vec::new();
     let mut after: Option<String> = None;
     let mut first_revision = None;
@@ -168,7 +172,12 @@
         let page = platform::read_list(&response.body).map_err(StoreError::Unknown)?;
         objects.extend(page.objects);
         // A watch from the first page's revision reports the changes made between two pages.
-        let revision = *first_revision.get_or_insert(page.revision);
+        let page_revision = response.revision(page.revision);
+        let revision = *first_revision.get_or_insert(page_revision);
+        if revision.era() != page_revision.era() {
+            let reason = "the store was restored between two pages".to_owned();
+            return Err(StoreError::Unknown(reason));
+        }
         match page.next_after {
             Some(name) => after = Some(name),
             None => return Ok((objects, revision)),
@@ -177,45 +186,61 @@
 }
 
 async fn read_all(host: &EntryHost, kind: Kind) -> Result<(), StoreError> {
-    let is_first_read = host.freshness(kind).complete_revision() == 0;
+    let known = host.freshness(kind);
+    let is_first_read = known.is_unread();
     // The list of servers is long, and a starting host learns what has changed since from the
     // leader or a watch.
-    let consistency = if is_first_read && kind == platform::SERVERS {
+    let mut consistency = if is_first_read && kind == platform::SERVERS {
         Consistency::Stale
     } else {
         Consistency::Strong
     };
-    let (objects, revision) = list(host, kind, consistency).await?;
+    let (mut objects, mut revision) = list(host, kind, consistency).await?;
+    if consistency == Consistency::Stale && revision.era() > FIRST_ERA {
+        // A stale read of a store that has been restored may show another history.
+        consistency = Consistency::Strong;
+        (objects, revision) = list(host, kind, consistency).await?;
+    }
     if host.freshness(kind).is_outdated(revision) {
         return Ok(());
     }
+    // Revisions of a new era do not continue those that followers know, so all objects are relayed.
+    let is_new_era = !is_first_read && known.complete_revision().era() < revision.era();
+    if is_new_era {
+        host.with_router(|router, now| router.begin_settling(now));
+    }
+    let must_relay = is_first_read || is_new_era;
     let mut servers = ServerChanges::default();
     let change = match kind {
         platform::SERVERS => {
             let entries = objects.iter().filter_map(|object| read_entry(host, object));
-            let entries = entries.collect();
-            servers = host.with_router(|router, now| router.replace_servers(now, entries));
+            let entries: Vec<ServerEntry> = entries.collect();
+            servers = host.with_router(|router, now| router.replace_servers(now, entries.clone()));
+            if is_new_era {
+                servers.entries = entries;
+            }
             host.set_servers_read();
             // Objects removed before the first read are not listed, so the first read always
             // counts as a change.
-            (is_first_read || !servers.is_empty()).then_some(revision)
+            (must_relay || !servers.is_empty()).then_some(revision)
         }
         platform::CONFIG => {
             for object in &objects {
                 apply_config(host, object);
             }
-            objects.iter().map(|object| object.revision).max()
+            let change = objects.iter().map(|object| object.revision).max();
+            change.map(|number| StoreRevision::new(revision.era(), number))
         }
         _ => {
             let domains: BTreeSet<String> =
                 objects.iter().map(|object| object.name.clone()).collect();
             let changed = host.with_router(|router, now| {
-                let changed = router.evacuated() != &domains;
+                let changed = router.listed_evacuations() != &domains;
                 router.set_evacuated(now, domains);
                 changed
             });
             host.set_evacuations_read();
-            (is_first_read || changed).then_some(revision)
+            (must_relay || changed).then_some(revision)
         }
     };
     if consistency == Consistency::Stale {
@@ -232,8 +257,8 @@
 fn record_progress(
     host: &EntryHost,
     kind: Kind,
-    to: u64,
-    change: Option<u64>,
+    to: StoreRevision,
+    change: Option<StoreRevision>,
     servers: &ServerChanges,
 ) {
     let last_change = host.freshness(kind).change_revision();
@@ -270,7 +295,7 @@
         LONE_WATCH_TIMEOUT
     };
     let from = host.freshness(kind).complete_revision();
-    let path = platform::watch_path(kind, from, wait);
+    let path = platform::watch_path(kind, from.number(), wait);
     let call = Box::pin(store_get(host, &path, wait));
     let superseded = Box::pin(watch_superseded(host, kind, is_leader));
     let response = match select(call, superseded).await {
@@ -278,9 +303,15 @@
         Either::Right(((), _)) => return Ok(Fetched::Abandoned),
     };
     if response.status != 200 {
+        host.update_freshness(kind, |freshness, _| freshness.record_history_lost());
         return Ok(Fetched::HistoryLost);
     }
     let (changes, to) = platform::read_changes(&response.body).map_err(StoreError::Unknown)?;
+    let to = response.revision(to);
+    if to.era() != from.era() {
+        // The watch began in one history and was answered from another.
+        return Ok(Fetched::HistoryLost);
+    }
     if host.freshness(kind).is_outdated(to) {
         return Ok(Fetched::Complete);
     }
@@ -293,7 +324,10 @@
             for change in changes.iter().filter(|change| !change.deleted) {
                 apply_config(host, &change.object);
             }
-            change = changes.iter().map(|change| change.object.revision).max();
+            change = changes
+                .iter()
+                .map(|change| response.revision(change.object.revision))
+                .max();
         }
         _ => apply_evacuation_changes(host, &changes),
     }
@@ -325,7 +359,7 @@
         return;
     }
     host.with_router(|router, now| {
-        let mut domains = router.evacuated().clone();
+        let mut domains = router.listed_evacuations().clone();
         for change in changes {
             let name = &change.object.name;
             if change.deleted {
@@ -339,20 +373,30 @@
 }
 
 /// Relays changes from the store to the followers, if this host is the leader.
-fn relay_update(host: &EntryHost, kind: Kind, from: u64, to: u64, servers: &ServerChanges) {
+///
+/// Across eras, all objects are relayed instead.
+fn relay_update(
+    host: &EntryHost,
+    kind: Kind,
+    from: StoreRevision,
+    to: StoreRevision,
+    servers: &ServerChanges,
+) {
     let Some(leader) = host.leader_state() else {
         return;
     };
     let index = KINDS.iter().position(|other| *other == kind);
     let (domains, reregistration_time) = host.with_router(|router, now| {
-        let domains: Vec<String> = router.evacuated().iter().cloned().collect();
+        let domains: Vec<String> = router.listed_evacuations().iter().cloned().collect();
         (domains, router.reregistration_time(now))
     });
     let removed = servers.removed.iter().map(|id| id.to_string());
     leader.broadcast(Body::StoreUpdate(StoreUpdate {
         kind: index.unwrap_or_default() as u32,
-        from,
-        to,
+        from: from.number(),
+        to: to.number(),
+        era: to.era(),
+        is_list: from.era() != to.era(),
         entries: servers.entries.iter().map(EntryMessage::from).collect(),
         removed: removed.collect(),
         domains,
@@ -370,28 +414,41 @@
         );
         return;
     };
+    host.learn_store_era(update.era);
+    let from = StoreRevision::new(update.era, update.from);
+    let to = StoreRevision::new(update.era, update.to);
     if *kind == platform::CONFIG {
         // The configuration is long, so each host reads it from the store.
         host.update_freshness(kind, |freshness, now| {
-            freshness.require_read(now, update.to);
+            freshness.require_read(now, to);
         });
         return;
     }
+    let is_list = update.is_list;
     let relay_status = host.update_freshness(kind, |freshness, _| {
-        freshness.record_relay(update.from, update.to)
+        if is_list {
+            freshness.record_relayed_list(to)
+        } else {
+            freshness.record_relay(from, to)
+        }
     });
     if relay_status != RelayStatus::Next {
         return;
     }
     host.with_router(|router, now| {
+        if is_list {
+            router.begin_settling(now);
+        }
         router.allow_reregistration(now, Duration::from_millis(update.reregistration_ms));
         if *kind == platform::SERVERS {
             let entries = update.entries.iter().filter_map(EntryMessage::to_entry);
-            let changes = ServerChanges {
-                entries: entries.collect(),
-                removed: update.removed.iter().map(|id| Arc::from(&**id)).collect(),
-            };
-            router.apply_server_changes(now, changes);
+            let entries: Vec<ServerEntry> = entries.collect();
+            if is_list {
+                router.replace_servers(now, entries);
+            } else {
+                let removed = update.removed.iter().map(|id| Arc::from(&**id)).collect();
+                router.apply_server_changes(now, ServerChanges { entries, removed });
+            }
         } else {
             let domains: BTreeSet<String> = update.domains.into_iter().collect();
             router.set_evacuated(now, domains);
