Leaders survive a restore of the store, and a new one trusts no lost record (OWNER)

What callers saw: for up to 3.7 s two servers held the same keys after the store came back from a copy, and both answered. Cause: the leader met its own older record, took it for another leader's and gave up; its successor granted keys to the holders that the restored record named, while those of the lost seconds still held them. Terms could be given out twice as well. Change: a leader gives way only to a higher term. In a new era it writes what it knows under a new term, once more than half of the hosts have echoed a heartbeat sent since, and treats a takeover that the store may have lost as a predecessor: keys are released only to servers that have taken a token of the new term. Without followers it gives up. The record names the era of which it lists all holders; a candidate that finds an older one asks the others for a leader and waits for all leases. A term is the era and a number, so none is given out twice. Hosts register again. Why it works: whoever a majority has followed since the restore knows all that was lost; nobody else grants before everything that may have been granted has expired.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -33,7 +33,7 @@
 pub use granter::{ClusterState, Granter, GranterTiming, Order, OrderReply};
 pub use host_delay::HostDelay;
 pub use load::{LoadReport, ServerLoad};
-pub use placement::{KeySpan, Placement, RoutingSpan, RoutingTable};
+pub use placement::{KeySpan, Placement, RoutingSpan, RoutingTable, first_term};
 pub use rate_limit::RateLimit;
 pub use rate_pool::RatePool;
 pub use rate_share::{RateBound, RateShareLimiter};
--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -4,9 +4,11 @@
 //! term. Every fence token starts with the term, so that the tokens of a later granter are higher
 //! than all earlier ones. `docs/platform-path.md`, "Keys", gives the reason for each waiting time.
 
+mod era;
 mod moves;
 mod order;
 mod rebalance;
+mod replies;
 mod span;
 
 use std::collections::BTreeMap;
@@ -54,6 +56,13 @@
     leader: String,
     address: SocketAddr,
     services: BTreeMap<Arc<str>, Vec<Span>>,
+    /// The era of the store in which this host has written its term.
+    era: u64,
+    /// The era of which the record lists all holders.
+    complete_era: Option<u64>,
+    /// Whether the store may have lost moves of earlier granters, so that any server may hold any
+    /// key until their leases have expired.
+    holders_unknown: bool,
     key_rates: BTreeMap<Arc<str>, KeyRates>,
     unanswered_grants: Vec<UnansweredGrant>,
     /// When this host was last confirmed to be the leader.
@@ -79,14 +88,18 @@
     /// Takes over from the record in which this host has just written its name.
     ///
     /// Servers in the record may hold their keys under an earlier granter for as long as that one
-    /// could still renew leases, plus the duration of a lease.
-    pub fn new(now: Time, record: &Placement, timing: GranterTiming) -> Self {
+    /// could still renew leases, plus the duration of a lease. If the record is of an earlier era of
+    /// the store than `era`, so may any other server.
+    pub fn new(now: Time, record: &Placement, era: u64, timing: GranterTiming) -> Self {
         let mut granter = Self {
             timing,
             term: record.term,
             leader: record.leader.clone(),
             address: record.address,
             services: BTreeMap::new(),
+            era,
+            complete_era: record.complete_era,
+            holders_unknown: !record.lists_all_holders(era),
             key_rates: BTreeMap::new(),
             unanswered_grants: Vec::new(),
             confirmed_at: now,
@@ -131,6 +144,7 @@
             inherited: true,
             token_accepted: false,
             pending_call: None,
+            pending_outdated: false,
             next_grant: now,
             failed_grants: 0,
             earliest_expiry: now + self.timing.lease,
@@ -139,6 +153,9 @@
         // The progress of a move under the earlier granter is not known: either server may hold the
         // keys, and a grant to one of them could overlap with the lease of the other.
         let (holder, stage) = match (&span.owner, &span.previous) {
+            (Some(server), _) | (None, Some(server)) if self.holders_unknown => {
+                (None, Stage::expiring(server.clone(), predecessor_expiry))
+            }
             (Some(owner), Some(_)) => (None, Stage::expiring(owner.clone(), predecessor_expiry)),
             (Some(owner), None) => (Some(holder(owner, true)), Stage::Held),
             (None, previous) => (
@@ -149,7 +166,11 @@
         Span {
             from: span.from,
             to: span.to,
-            free_at: now,
+            free_at: if self.holders_unknown {
+                predecessor_expiry
+            } else {
+                now
+            },
             pending_handover: None,
             previous_server: span.previous.clone().filter(|_| holder.is_none()),
             holder,
@@ -224,38 +245,17 @@
             .record(now, counts);
     }
 
-    /// Handles a request that a server rejected because it does not hold the key.
-    ///
-    /// The server may have restarted without notice, so its keys are granted again with a new
-    /// fence token.
-    pub fn handle_missing_key(&mut self, now: Time, service: &str, key: u16, server: &str) {
-        let fence = self.new_fence_token();
-        let spans = self.services.get_mut(service);
-        let span = spans
-            .into_iter()
-            .flatten()
-            .find(|span| span.from <= key && key <= span.to);
-        let Some(span) = span else { return };
-        if !matches!(span.stage, Stage::Held) {
-            return;
-        }
-        if let Some(holder) = span.holder.as_mut()
-            && &*holder.server == server
-            && holder.pending_call.is_none()
-        {
-            holder.fence = fence;
-            holder.token_accepted = false;
-            holder.confirmed = false;
-            holder.next_grant = now;
-        }
-    }
-
     /// Advances all spans as far as possible and returns the resulting orders.
     pub fn advance(&mut self, now: Time, cluster: ClusterState<'_>) -> Vec<Order> {
         if !self.is_confirmed(now) {
             return std::mem::take(&mut self.orders);
         }
         self.unanswered_grants.retain(|grant| grant.until > now);
+        if self.holders_unknown && self.predecessor_expired(now) {
+            self.holders_unknown = false;
+            self.complete_era = Some(self.era);
+            self.record_outdated = true;
+        }
         self.assign_new_services(now, cluster);
         let services: Vec<Arc<str>> = self.services.keys().cloned().collect();
         for service in &services {
@@ -280,97 +280,27 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// Handles the outcome of an order.
-    pub fn handle_reply(&mut self, now: Time, call: CallId, sent: Time, reply: OrderReply) {
-        let timing = self.timing;
-        let fence = self.new_fence_token();
-        let mut fenced = None;
-        for span in self.services.values_mut().flatten() {
-            if let Stage::Releasing {
-                target,
-                pending_call: pending,
-                attempts,
-                ..
-            } = &span.stage
-                && *pending == Some(call)
-            {
-                let (target, attempts) = (target.clone(), *attempts);
-                span.stage = match &reply {
-                    OrderReply::Done(handover) => {
-                        let unanswered = self.unanswered_grants.iter().filter(|grant| {
-                            let holder = span.holder.as_ref();
-                            let may_apply = holder.is_some_and(|holder| {
-                                let is_rejected =
-                                    holder.token_accepted && grant.fence < holder.fence;
-                                holder.server == grant.server && !is_rejected
-                            });
-                            may_apply && grant.from <= span.to && span.from <= grant.to
-                        });
-                        let at = unanswered.map(|grant| grant.until).fold(now, Time::max);
-                        Stage::Expiring {
-                            target,
-                            at,
-                            handover: handover.clone(),
-                            released: true,
-                        }
-                    }
-                    _ => Stage::Releasing {
-                        target,
-                        pending_call: None,
-                        attempts,
-                        retry_at: now + RETRY_DELAY,
-                    },
-                };
-                return;
-            }
-            let Some(holder) = span
-                .holder
-                .as_mut()
-                .filter(|holder| holder.pending_call == Some(call))
-            else {
-                continue;
-            };
-            // If a span was split while the call was in flight, every part has the same pending
-            // call.
-            holder.pending_call = None;
-            let used_fence = holder.fence;
-            holder.record_reply(now, sent, &timing, &reply, fence);
-            match reply {
-                OrderReply::Unknown => {
-                    self.unanswered_grants.push(UnansweredGrant {
-                        server: holder.server.clone(),
-                        from: span.from,
-                        to: span.to,
-                        fence: used_fence,
-                        until: now + timing.max_lease(),
-                    });
-                }
-                OrderReply::Fenced => fenced = Some(holder.server.clone()),
-                _ => {}
-            }
-        }
-        if let Some(server) = fenced {
-            // Another host may be the leader; no orders are issued until this host is confirmed
-            // again.
-            self.log(
-                EventCode::Fenced,
-                &server,
-                "grant rejected; no orders until confirmed as granting host",
-            );
-            self.confirmed_at = Time::ZERO;
-        }
-    }
-
     /// Records that a version of the record was written.
     pub fn mark_written(&mut self, version: u64) {
         self.written_version = self.written_version.max(version);
         self.write_pending = false;
     }
 
+    /// Whether a version of the record, or a later one, was written.
+    pub fn is_written(&self, version: u64) -> bool {
+        self.written_version >= version
+    }
+
     fn write_record(&mut self, now: Time) {
         if self.write_pending || !(self.record_outdated || self.is_cleanup_due(now)) {
             return;
         }
+        let placement = self.next_record();
+        self.orders.push(Order::Write(placement));
+    }
+
+    /// The next version of the record, which moves wait for from now on.
+    fn next_record(&mut self) -> Placement {
         let version = self.next_version;
         self.next_version += 1;
         for span in self.services.values_mut().flatten() {
@@ -385,8 +315,7 @@
         self.write_pending = true;
         self.record_outdated = false;
         self.move_ended = None;
-        let placement = self.build_record(version);
-        self.orders.push(Order::Write(placement));
+        self.build_record(version)
     }
 
     /// Whether finished moves should be removed from the record.
@@ -421,15 +350,21 @@
             services: services
                 .map(|(name, list)| (name.clone(), spans(list)))
                 .collect(),
+            complete_era: self.complete_era,
         }
     }
 
     fn update_table(&mut self) {
+        let holders_unknown = self.holders_unknown;
+        let server = |span: &Span| {
+            let presumed = span.target().filter(|_| holders_unknown);
+            span.serving().or(presumed).cloned()
+        };
         let spans = |spans: &Vec<Span>| {
             let spans = spans.iter().map(|span| RoutingSpan {
                 from: span.from,
                 to: span.to,
-                server: span.serving().cloned(),
+                server: server(span),
             });
             spans.collect::<Vec<_>>()
         };
--- a/crates/core/src/front/granter/moves.rs
+++ b/crates/core/src/front/granter/moves.rs
@@ -22,7 +22,12 @@
 
 impl Granter {
     /// Assigns all keys of services that have no spans yet.
+    ///
+    /// While holders are unknown, a service that is missing from the record may have some.
     pub(super) fn assign_new_services(&mut self, now: Time, cluster: ClusterState<'_>) {
+        if self.holders_unknown {
+            return;
+        }
         for (service, settings) in &cluster.config.services {
             if !settings.keyed || self.services.contains_key(service) {
                 continue;
@@ -86,7 +91,7 @@
                             target,
                             at: span.free_at,
                             handover: span.pending_handover.take(),
-                            released: true,
+                            released: !self.holders_unknown,
                         },
                     };
                     return self.advance_span(now, cluster, service, span);
@@ -140,6 +145,7 @@
             inherited: false,
             token_accepted: false,
             pending_call: None,
+            pending_outdated: false,
             next_grant: now,
             failed_grants: 0,
             earliest_expiry: now + self.timing.lease,
--- a/crates/core/src/front/granter/span.rs
+++ b/crates/core/src/front/granter/span.rs
@@ -21,6 +21,8 @@
     /// Whether the server has accepted the current fence token.
     pub(super) token_accepted: bool,
     pub(super) pending_call: Option<CallId>,
+    /// Whether the pending call has the token of an earlier term.
+    pub(super) pending_outdated: bool,
     pub(super) next_grant: Time,
     /// Consecutive grants that failed.
     pub(super) failed_grants: u32,
@@ -31,6 +33,16 @@
 }
 
 impl Holder {
+    /// Replaces the token by one of a new term, since an earlier granter may have granted the keys to
+    /// the same server.
+    pub(super) fn inherit(&mut self, now: Time, fence: u64) {
+        self.pending_outdated = self.pending_call.is_some();
+        self.fence = fence;
+        self.token_accepted = false;
+        self.inherited = true;
+        self.next_grant = now;
+    }
+
     /// Records the outcome of a grant; `fence` is a new token that replaces one that must not be
     /// used again.
     ///
@@ -47,10 +59,12 @@
         self.next_grant = self.next_grant.min(now + RETRY_DELAY);
         match reply {
             OrderReply::Done(_) => {
-                self.next_grant = sent + timing.renewal_interval;
                 self.confirmed = true;
-                self.token_accepted = true;
-                self.inherited = false;
+                if !std::mem::take(&mut self.pending_outdated) {
+                    self.next_grant = sent + timing.renewal_interval;
+                    self.token_accepted = true;
+                    self.inherited = false;
+                }
                 self.failed_grants = 0;
                 self.handover = None;
                 self.earliest_expiry = self.earliest_expiry.max(sent + timing.lease);
@@ -65,6 +79,7 @@
             OrderReply::NotSent | OrderReply::WrongServer => self.failed_grants += 1,
             OrderReply::Fenced => {}
         }
+        self.pending_outdated = false;
         self.token_accepted = false;
         self.fence = fence;
     }
--- a/crates/core/src/front/placement.rs
+++ b/crates/core/src/front/placement.rs
@@ -4,13 +4,22 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Number of bits of a term below the era of the store in which it began.
+const ERA_SHIFT: u32 = 16;
+
+/// The first term of an era of the store; above all terms of earlier eras, whatever was lost.
+pub fn first_term(era: u64) -> u64 {
+    (era << ERA_SHIFT) + 1
+}
+
 /// The stored record of the keys: the leader, and the server that each key was last assigned to.
 ///
 /// It is written before any order that depends on it is sent, so that it lists every server that
 /// may hold a key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
-    /// Number of changes of the leader so far; the high bits of every fence token.
+    /// The leader's time in office: the era of the store in which it began, and a number within that
+    /// era. The high bits of every fence token.
     pub term: u64,
     /// Number of writes of the record in this term.
     pub version: u64,
@@ -20,6 +29,39 @@
     pub address: SocketAddr,
     /// Spans of each service, sorted by key.
     pub services: BTreeMap<Arc<str>, Vec<KeySpan>>,
+    /// The era of the store of which the record lists all holders of keys. In a later era, moves
+    /// that the store has lost may be missing. `None` if a version without eras wrote the record.
+    pub complete_era: Option<u64>,
+}
+
+impl Placement {
+    /// Whether the record lists all holders of keys if it was read in the given era.
+    pub fn lists_all_holders(&self, era: u64) -> bool {
+        self.complete_era.is_none_or(|complete| complete == era)
+    }
+
+    /// The term of the next leader, which takes office in the given era.
+    pub fn next_term(&self, era: u64) -> u64 {
+        first_term(era).max(self.term + 1)
+    }
+
+    /// The record of a leader that succeeds this one in the given era.
+    #[must_use]
+    pub fn succeed(&self, era: u64, leader: &str, address: SocketAddr) -> Self {
+        let complete_era = if self.lists_all_holders(era) {
+            Some(era)
+        } else {
+            self.complete_era
+        };
+        Self {
+            term: self.next_term(era),
+            version: self.version + 1,
+            leader: leader.to_owned(),
+            address,
+            services: self.services.clone(),
+            complete_era,
+        }
+    }
 }
 
 /// A range of keys that one server holds or is about to receive.
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -37,6 +37,8 @@
     pub readiness_address: SocketAddr,
     /// First port available for traffic between hosts.
     pub peer_port: u16,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Share of a CPU core, if the platform states it.
--- a/crates/core/tests/front/grants.rs
+++ b/crates/core/tests/front/grants.rs
@@ -54,6 +54,15 @@
     check_seeds(|seed| run_to_recovery(random_sim(seed).with_store_restores()));
 }
 
+// Guards against OWNER: the store had lost that another host had taken over for a moment, and keys
+// were released while that one could still grant them to the same server.
+#[test]
+fn lost_takeover_grants_no_released_key() {
+    let sim = random_sim(1_420).with_store_restores();
+
+    assert_eq!(run_to_recovery(sim), None);
+}
+
 #[parameterized(
     first = { 0 },
     order_sent_without_permission_1 = { 146 },
--- a/crates/core/tests/front/hot_keys.rs
+++ b/crates/core/tests/front/hot_keys.rs
@@ -44,6 +44,7 @@
             leader: "h0".to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             services: BTreeMap::new(),
+            complete_era: Some(1),
         };
         let timing = GranterTiming {
             lease: Duration::from_secs(4),
@@ -59,7 +60,7 @@
             servers.upsert(Time::from_millis(1_000), entry, None, 0.0);
         }
         let mut deployment = Self {
-            granter: Granter::new(Time::from_millis(1_000), &record, timing),
+            granter: Granter::new(Time::from_millis(1_000), &record, 1, timing),
             servers,
             now: 1_000,
             replies: BTreeMap::new(),
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -50,6 +50,10 @@
     frozen_until: u64,
     store_reachable: bool,
     granter: Option<Granter>,
+    /// Number of granters that this host has had.
+    granters: u64,
+    /// The latest era of the store that the granter has learnt of, and when.
+    learnt_era: (u64, u64),
     revision: u64,
     leader_seen: u64,
     followed_term: u64,
@@ -73,12 +77,13 @@
     /// An order that waits at its host to be written.
     Write {
         host: usize,
-        term: u64,
+        granter: u64,
         call: CallId,
         order: Order,
     },
     Order {
         host: usize,
+        granter: u64,
         order: Order,
         /// When it was sent, or when it arrived if it is executed late.
         sent: u64,
@@ -102,7 +107,7 @@
     now: u64,
     sequence: u64,
     queue: BTreeMap<(u64, u64), Delivery>,
-    /// Pending calls by host, term and call number.
+    /// Pending calls by host, granter and call number.
     pending_calls: BTreeMap<(usize, u64, u64), PendingCall>,
     entry_hosts: Vec<EntryHost>,
     backends: Vec<Backend>,
@@ -141,6 +146,8 @@
             frozen_until: 0,
             store_reachable: true,
             granter: None,
+            granters: 0,
+            learnt_era: (0, 0),
             revision: 0,
             leader_seen: 0,
             followed_term: 0,
@@ -316,16 +323,17 @@
                 Delivery::Entries { host } => self.push(200, Delivery::Entries { host }),
                 Delivery::Write {
                     host,
-                    term,
+                    granter,
                     call,
                     order,
-                } => self.write_order(host, term, call, order),
+                } => self.write_order(host, granter, call, order),
                 Delivery::Order {
                     host,
+                    granter,
                     order,
                     sent,
                     late,
-                } => self.deliver_order(host, order, sent, late),
+                } => self.deliver_order((host, granter), order, sent, late),
                 Delivery::Answer {
                     host,
                     call,
@@ -342,14 +350,11 @@
                 self.now >= sent + ORDER_TIMEOUT_MS && !self.is_frozen(*host)
             })
             .collect();
-        for ((host, term, call), sent) in overdue {
-            self.pending_calls.remove(&(host, term, call));
+        for ((host, number, call), sent) in overdue {
+            self.pending_calls.remove(&(host, number, call));
             let now = self.time();
-            if let Some(granter) = self.entry_hosts[host]
-                .granter
-                .as_mut()
-                .filter(|granter| granter.term() == term)
-            {
+            let entry = &mut self.entry_hosts[host];
+            if let Some(granter) = entry.granter.as_mut().filter(|_| entry.granters == number) {
                 granter.handle_reply(
                     now,
                     CallId(call),
--- a/crates/core/tests/front/sim/hosts.rs
+++ b/crates/core/tests/front/sim/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use amaranthshunt_core::front::{ClusterState, Granter, Order, OrderReply, Placement};
+use amaranthshunt_core::front::{ClusterState, Granter, Order, OrderReply, Placement, first_term};
 use amaranthshunt_core::ids::CallId;
 use rand::Rng;
 
@@ -56,34 +56,44 @@
             }
         }
         let now = self.time();
-        if followers * 2 > self.entry_hosts.len() {
-            self.entry_hosts[host]
-                .granter
-                .as_mut()
-                .unwrap()
-                .confirm(now);
-            self.entry_hosts[host]
-                .granter
-                .as_mut()
-                .unwrap()
-                .record_majority(now);
+        let is_followed = followers * 2 > self.entry_hosts.len();
+        if is_followed {
+            let granter = self.entry_hosts[host].granter.as_mut().unwrap();
+            granter.confirm(now);
+            granter.record_majority(now);
         }
         if self.reaches_store(host) {
-            let current = self
-                .record
-                .as_ref()
-                .is_some_and(|(_, record)| record.term == term);
-            if current {
-                self.entry_hosts[host]
-                    .granter
-                    .as_mut()
-                    .unwrap()
-                    .confirm(now);
-            } else {
-                self.entry_hosts[host].granter = None;
-                self.entry_hosts[host].pending_write = None;
-                self.entry_hosts[host].leader_seen = self.now;
-            }
+            self.check_record(host, is_followed);
+        }
+    }
+
+    /// Reads the record as the leader, and begins a term in a new era of the store.
+    fn check_record(&mut self, host: usize, is_followed: bool) {
+        let now = self.time();
+        let (record_term, era) = (self.record.as_ref().map_or(0, |(_, r)| r.term), self.era);
+        let entry = &mut self.entry_hosts[host];
+        let granter = entry.granter.as_mut().unwrap();
+        if entry.learnt_era.0 != era {
+            entry.learnt_era = (era, self.now);
+        }
+        let learnt_at = entry.learnt_era.1;
+        let is_lost = !is_followed && granter.era() != era && self.now >= learnt_at + 2_000;
+        if record_term > granter.term() || is_lost {
+            entry.granter = None;
+            entry.pending_write = None;
+            entry.leader_seen = self.now;
+        } else if granter.era() != era && is_followed && self.now > learnt_at {
+            let term = first_term(era).max(granter.term() + 1);
+            let record = granter.record_for_era(term, era);
+            let revision = self.record_revision() + 1;
+            self.set_record(Some((revision, record.clone())));
+            let entry = &mut self.entry_hosts[host];
+            entry.granter.as_mut().unwrap().begin_era(now, &record, era);
+            entry.revision = revision;
+            entry.followed_term = term;
+            entry.pending_write = None;
+        } else if granter.era() == era && record_term == granter.term() {
+            granter.confirm(now);
         }
     }
 
@@ -109,25 +119,27 @@
             self.entry_hosts[host].leader_seen = self.now;
             return;
         }
-        let latest_record = self.record.clone();
-        let (term, version, services) = latest_record
-            .map_or((0, 0, BTreeMap::new()), |(_, record)| {
-                (record.term, record.version, record.services)
-            });
-        let record = Placement {
-            term: term + 1,
-            version: version + 1,
-            leader: format!("h{host}"),
-            address: ([127, 0, 0, 1], 1).into(),
-            services,
+        let (name, address) = (format!("h{host}"), ([127, 0, 0, 1], 1).into());
+        let record = match &self.record {
+            Some((_, record)) => record.succeed(self.era, &name, address),
+            None => Placement {
+                term: first_term(self.era),
+                version: 1,
+                leader: name,
+                address,
+                services: BTreeMap::new(),
+                complete_era: Some(u64::from(self.era == 1)),
+            },
         };
-        let revision = self.record.as_ref().map_or(1, |(revision, _)| revision + 1);
+        let revision = self.record_revision() + 1;
         self.set_record(Some((revision, record.clone())));
-        let now = self.time();
+        let (now, era) = (self.time(), self.era);
         let entry = &mut self.entry_hosts[host];
         entry.revision = revision;
         entry.followed_term = record.term;
-        entry.granter = Some(Granter::new(now, &record, TIMING));
+        entry.granters += 1;
+        entry.learnt_era = (era, self.now);
+        entry.granter = Some(Granter::new(now, &record, era, TIMING));
     }
 
     fn retry_write(&mut self, host: usize) {
@@ -142,9 +154,16 @@
             return;
         };
         let is_written = stored == placement;
-        if !is_written && revision != self.entry_hosts[host].revision {
-            self.entry_hosts[host].granter = None;
-            self.entry_hosts[host].pending_write = None;
+        let entry = &mut self.entry_hosts[host];
+        if entry.granter.as_ref().is_none_or(|g| g.era() != self.era) {
+            return;
+        }
+        if !is_written && revision != entry.revision {
+            entry.revision = revision;
+            if stored.term > placement.term {
+                entry.granter = None;
+                entry.pending_write = None;
+            }
             return;
         }
         if !is_written {
@@ -180,10 +199,8 @@
         };
         let orders = granter.advance(now, cluster);
         for order in orders {
-            let (call, fence) = match &order {
-                Order::Grant { call, fence, .. } | Order::Release { call, fence, .. } => {
-                    (*call, *fence)
-                }
+            let call = match &order {
+                Order::Grant { call, .. } | Order::Release { call, .. } => *call,
                 Order::Write(placement) => {
                     self.entry_hosts[host].pending_write = Some((placement.clone(), 0));
                     continue;
@@ -195,12 +212,12 @@
             } else {
                 0
             };
-            let term = fence >> 24;
+            let number = self.entry_hosts[host].granters;
             self.pending_calls
-                .insert((host, term, call.0), PendingCall { sent: None });
+                .insert((host, number, call.0), PendingCall { sent: None });
             let write = Delivery::Write {
                 host,
-                term,
+                granter: number,
                 call,
                 order,
             };
@@ -209,12 +226,12 @@
     }
 
     /// Writes an order to its connection, if the host may still send it.
-    pub(super) fn write_order(&mut self, host: usize, term: u64, call: CallId, order: Order) {
+    pub(super) fn write_order(&mut self, host: usize, number: u64, call: CallId, order: Order) {
         if self.is_frozen(host) {
             if self.entry_hosts[host].up {
                 let write = Delivery::Write {
                     host,
-                    term,
+                    granter: number,
                     call,
                     order,
                 };
@@ -223,12 +240,13 @@
             return;
         }
         let now = self.time();
-        let granter = &mut self.entry_hosts[host].granter;
-        let Some(granter) = granter.as_mut().filter(|granter| granter.term() == term) else {
+        let entry = &mut self.entry_hosts[host];
+        let is_current = entry.granters == number;
+        let Some(granter) = entry.granter.as_mut().filter(|_| is_current) else {
             return;
         };
         let sent = self.now;
-        let key = (host, term, call.0);
+        let key = (host, number, call.0);
         if !granter.is_confirmed(now) {
             self.pending_calls.remove(&key);
             granter.handle_reply(now, call, now, OrderReply::NotSent);
@@ -247,6 +265,7 @@
         };
         let delivery = Delivery::Order {
             host,
+            granter: number,
             order,
             sent,
             late: None,
--- a/crates/core/tests/front/sim/orders.rs
+++ b/crates/core/tests/front/sim/orders.rs
@@ -1,7 +1,7 @@
 //! Orders on their way to servers, their execution, and the replies.
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Granter, Order, OrderReply};
+use amaranthshunt_core::front::{Order, OrderReply};
 use amaranthshunt_core::ids::CallId;
 use rand::Rng;
 
@@ -10,28 +10,18 @@
 impl Sim {
     pub(super) fn deliver_order(
         &mut self,
-        host: usize,
+        (host, granter): (usize, u64),
         order: Order,
         sent: u64,
         late: Option<u64>,
     ) {
-        let (call, id, fence) = match &order {
-            Order::Grant {
-                call,
-                server,
-                fence,
-                ..
+        let (call, id) = match &order {
+            Order::Grant { call, server, .. } | Order::Release { call, server, .. } => {
+                (*call, server.clone())
             }
-            | Order::Release {
-                call,
-                server,
-                fence,
-                ..
-            } => (*call, server.clone(), *fence),
             _ => return,
         };
-        let term = fence >> 24;
-        let is_pending = self.pending_calls.contains_key(&(host, term, call.0));
+        let is_pending = self.pending_calls.contains_key(&(host, granter, call.0));
         // An aborted connection drops the order that it carried; an order already being executed
         // late is completed.
         if !is_pending && late.is_none() {
@@ -79,6 +69,7 @@
             after,
             Delivery::Order {
                 host,
+                granter: 0,
                 order,
                 sent: arrival,
                 late: Some(incarnation),
@@ -163,10 +154,8 @@
             }
             return;
         }
-        let Some(term) = self.entry_hosts[host].granter.as_ref().map(Granter::term) else {
-            return;
-        };
-        if self.pending_calls.remove(&(host, term, call.0)).is_none() {
+        let number = self.entry_hosts[host].granters;
+        if self.pending_calls.remove(&(host, number, call.0)).is_none() {
             return;
         }
         let now = self.time();
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -3,6 +3,7 @@
 //! The leader is the one host that grants keys to servers. The store's placement record names it;
 //! the other hosts follow it and replace it when it is lost.
 
+mod era;
 mod execution;
 mod heartbeat;
 mod leader_state;
@@ -10,12 +11,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
     ClusterState, DemandShares, Granter, GranterTiming, Placement, RatePool, RoutingTable,
+    StoreRevision,
 };
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform as platform;
@@ -28,15 +31,14 @@
 use crate::messages::{Body, TableMessage};
 use crate::orders::{GRANT_TIMEOUT, OrderClient};
 use crate::peers::{self, FollowEnd};
+use crate::registration::register;
 use crate::watch::{Consistency, list};
+use era::EraWatch;
 use execution::execute_order;
 use heartbeat::send_heartbeat;
 pub(crate) use heartbeat::take_key_counts;
 pub(crate) use leader_state::LeaderState;
-use record::{
-    WriteOutcome, create_record, first_record, read_record, record_exists, replace_record,
-    take_over,
-};
+use record::{StoredRecord, WriteOutcome, read_record, record_exists, write_record_if};
 
 /// Lease of a grant: a lost server's keys are granted elsewhere only after it, and a lost leader is
 /// replaced well within it.
@@ -74,14 +76,15 @@
 
 /// Registers the host, then follows the leader or acts as the leader until the host shuts down.
 pub(crate) async fn run(host: Arc<EntryHost>) {
-    let mut hosts = register_host(&host).await;
+    let mut hosts = register(&host).await;
     hosts.remove(&host.settings.name);
-    let mut just_started = true;
-    let mut last_leader: Option<(u64, String)> = None;
-    loop {
-        if host.is_leaving() {
-            return;
-        }
+    let mut candidate = Candidate {
+        just_started: true,
+        may_be_first: host.settings.first_start,
+        first_era: None,
+        last_leader: None,
+    };
+    while !host.is_leaving() {
         let record = match read_record(&host).await {
             Ok(record) => record,
             Err(error) => {
@@ -90,47 +93,100 @@
                 continue;
             }
         };
-        let Some((record, revision)) = record else {
-            delay_candidacy(&host).await;
-            if record_exists(&host).await {
-                continue;
-            }
-            if let Some(revision) = create_record(&host).await {
-                lead(&host, first_record(&host), revision, &hosts).await;
-            }
-            continue;
-        };
-        let is_leader = record.leader == host.settings.name;
-        let current = (record.term, record.leader.clone());
-        let is_known = last_leader.as_ref() == Some(&current);
-        if !is_leader && !is_known {
-            host.log(
-                EventCode::GranterChanged,
-                &record.leader,
-                format!("term {}", record.term),
-            );
-        }
-        last_leader = Some(current);
-        let mut follow_end = FollowEnd::LeaderLost;
-        if !is_leader {
-            host.with_router(|router, _| router.update_table(table_from_record(&record)));
-            follow_end = peers::follow_leader(&host, record.address, record.term).await;
-        }
+        candidate.observe(&host, &record);
+        let follow_end = follow_recorded_leader(&host, &record).await;
         if host.is_leaving() {
             return;
         }
-        if !is_leader
-            && follow_end != FollowEnd::LeaderResigned
-            && !just_started
-            && others_hear_leader(&hosts).await
-        {
+        let may_lead = candidate.needs_no_answers(&host, &record, follow_end)
+            || !others_hear_leader(&hosts).await;
+        if !may_lead {
             task::sleep(STORE_RETRY_DELAY).await;
             continue;
         }
-        just_started = false;
+        candidate.just_started = false;
         delay_candidacy(&host).await;
-        if let Some((record, revision)) = take_over(&host, &record, revision).await {
-            lead(&host, record, revision, &hosts).await;
+        if record.placement.is_none() && record_exists(&host).await {
+            continue;
+        }
+        take_over(&host, &record, candidate.may_be_first, &hosts).await;
+    }
+}
+
+/// What a host knows about the leaders before it.
+struct Candidate {
+    just_started: bool,
+    /// Whether no host can have led before.
+    may_be_first: bool,
+    /// The era of the store in which this host first read the record.
+    first_era: Option<u64>,
+    /// Term and name of the last leader.
+    last_leader: Option<(u64, String)>,
+}
+
+impl Candidate {
+    fn observe(&mut self, host: &EntryHost, stored: &StoredRecord) {
+        let first_era = *self.first_era.get_or_insert(stored.era());
+        let Some(record) = &stored.placement else {
+            self.may_be_first &= first_era == stored.era();
+            return;
+        };
+        self.may_be_first = false;
+        let current = Some((record.term, record.leader.clone()));
+        if record.leader != host.settings.name && self.last_leader != current {
+            let detail = format!("term {}", record.term);
+            host.log(EventCode::GranterChanged, &record.leader, detail);
+        }
+        self.last_leader = current;
+    }
+
+    /// Whether the host may become a candidate without asking the others whether they hear the
+    /// leader.
+    ///
+    /// If the store may have lost the name of the leader, only the others know whether there is one.
+    fn needs_no_answers(
+        &self,
+        host: &EntryHost,
+        record: &StoredRecord,
+        follow_end: FollowEnd,
+    ) -> bool {
+        if follow_end == FollowEnd::LeaderResigned {
+            return true;
+        }
+        let is_own = record
+            .placement
+            .as_ref()
+            .is_none_or(|record| record.leader == host.settings.name);
+        record.is_complete(self.may_be_first)
+            && (is_own || self.just_started || follow_end == FollowEnd::StoreLost)
+    }
+}
+
+/// Follows the leader that the record names, if it is another host, until it is lost or resigns.
+async fn follow_recorded_leader(host: &EntryHost, stored: &StoredRecord) -> FollowEnd {
+    match &stored.placement {
+        Some(record) if record.leader != host.settings.name => {
+            host.with_router(|router, _| router.update_table(table_from_record(record)));
+            peers::follow_leader(host, record.address, record.term).await
+        }
+        _ => FollowEnd::LeaderLost,
+    }
+}
+
+/// Makes this host the leader, if the record has not changed since it was read, and leads.
+async fn take_over(
+    host: &Arc<EntryHost>,
+    stored: &StoredRecord,
+    is_first: bool,
+    hosts: &BTreeMap<String, SocketAddr>,
+) {
+    let record = stored.succeed(host, is_first);
+    match write_record_if(host, &record, stored.revision).await {
+        WriteOutcome::Done(revision) => lead(host, record, revision, hosts).await,
+        WriteOutcome::Conflict(..) => {}
+        WriteOutcome::Failed(error) => {
+            log::warn!("cannot take over the placement record: {error}");
+            task::sleep(STORE_RETRY_DELAY).await;
         }
     }
 }
@@ -158,40 +214,6 @@
         .any(|silence| silence < peers::LEADER_TIMEOUT)
 }
 
-/// Registers the host in the store, and returns all registered hosts.
-async fn register_host(host: &EntryHost) -> BTreeMap<String, SocketAddr> {
-    let name = &host.settings.name;
-    loop {
-        let objects = match list(host, platform::HOSTS, Consistency::Stale).await {
-            Ok((objects, _)) => objects,
-            Err(error) => {
-                log::warn!("cannot read the list of hosts: {error}");
-                task::sleep(STORE_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let registered = objects.iter().filter_map(|object| {
-            Some((object.name.clone(), platform::read_host(&object.spec).ok()?))
-        });
-        let hosts: BTreeMap<String, SocketAddr> = registered.collect();
-        let count = hosts.len();
-        host.with_router(|router, _| router.set_hosts(router.hosts().max(count)));
-        if hosts.get(name) == Some(&host.settings.peers_address()) {
-            return hosts;
-        }
-        let spec = platform::write_host(&host.settings.domain, host.settings.peers_address());
-        let path = platform::list_path(platform::HOSTS, None);
-        let body = platform::create_body(name, &spec);
-        match host.call_store("POST", &path, &body, Duration::ZERO).await {
-            Ok(_) => return hosts,
-            Err(error) => {
-                log::warn!("cannot register the host: {error}");
-                task::sleep(STORE_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 /// The routing table that follows from a record, for a host that cannot reach the leader.
 fn table_from_record(record: &Placement) -> RoutingTable {
     let spans = record.services.iter().map(|(service, spans)| {
@@ -215,7 +237,7 @@
 async fn lead(
     host: &Arc<EntryHost>,
     record: Placement,
-    revision: u64,
+    revision: StoreRevision,
     hosts: &BTreeMap<String, SocketAddr>,
 ) {
     let timing = GranterTiming {
@@ -227,21 +249,25 @@
         cleanup_delay: RECORD_CLEANUP_DELAY,
     };
     let name = host.settings.name.clone();
-    host.log(
-        EventCode::GranterStarted,
-        &name,
-        format!("term {}", record.term),
-    );
+    let trust = if record.lists_all_holders(revision.era()) {
+        "the record is complete"
+    } else {
+        "the store has lost moves, so all leases expire first"
+    };
+    let detail = format!("term {}, {trust}", record.term);
+    host.log(EventCode::GranterStarted, &name, detail);
     let started = clock::now();
     let is_first_placement = record.services.is_empty();
     let mut members: BTreeSet<String> = hosts.keys().cloned().collect();
     members.insert(name.clone());
     let leader = Arc::new(LeaderState {
-        granter: Mutex::new(Granter::new(started, &record, timing)),
+        granter: Mutex::new(Granter::new(started, &record, revision.era(), timing)),
         followers: Mutex::default(),
         orders: OrderClient::default(),
         members: Mutex::new(members),
-        record_revision: Mutex::new(revision),
+        record_revision: async_std::sync::Mutex::new(revision),
+        era_record: Mutex::default(),
+        rewriting: AtomicBool::new(false),
         demand: Mutex::new(DemandShares::new(started)),
         pool: Mutex::new(RatePool::new(started)),
         end_reason: Mutex::default(),
@@ -253,9 +279,11 @@
     let mut published = RoutingTable::default();
     let mut last_server_count = (0, started);
     let mut members_refreshed = false;
+    let mut era_watch = EraWatch::default();
     while !leader.is_superseded() {
         let now = clock::now();
         confirm_leadership(host, &leader, now, &mut last_store_check);
+        era_watch.follow_store(host, &leader, now);
         let count = host.with_router(|router, _| router.servers().iter().count());
         if count != last_server_count.0 {
             last_server_count = (count, now);
@@ -315,15 +343,14 @@
     let (host, leader) = (host.clone(), leader.clone());
     task::spawn(async move {
         let sent = clock::now();
-        let Ok(Some((record, _))) = read_record(&host).await else {
+        let Ok(record) = read_record(&host).await else {
             return;
         };
-        let term = lock(&leader.granter).term();
-        if record.term == term {
-            lock(&leader.granter).confirm(sent);
-        } else {
-            let reason = format!("the record has term {}", record.term);
-            leader.supersede(reason);
+        let mut granter = lock(&leader.granter);
+        if record.term() > granter.term() {
+            leader.supersede(format!("the record has term {}", record.term()));
+        } else if record.term() == granter.term() && record.era() == granter.era() {
+            granter.confirm(sent);
         }
     });
 }
@@ -348,9 +375,13 @@
         (table.version != published.version).then(|| table.clone())
     };
     if let Some(table) = changed {
-        let changes = table.changes_since(published);
-        let message = TableMessage::new(table.term, table.version, &changes);
-        leader.broadcast(Body::TableChanges(message));
+        if table.term == published.term {
+            let changes = table.changes_since(published);
+            let message = TableMessage::new(table.term, table.version, &changes);
+            leader.broadcast(Body::TableChanges(message));
+        } else {
+            leader.broadcast(Body::Table(TableMessage::from(&table)));
+        }
         host.with_router(|router, _| router.update_table(table.clone()));
         *published = table;
     }
@@ -358,25 +389,35 @@
 
 /// Writes the record. A write that fails or gets no response is retried; the retry also reveals
 /// whether an earlier attempt took effect.
+///
+/// Only a record of a higher term is another leader's. One of a lower term is a copy from which the
+/// store was restored, or was written late by an earlier leader.
 async fn write_record(host: Arc<EntryHost>, leader: Arc<LeaderState>, placement: Placement) {
     let version = placement.version;
     while !leader.is_superseded() {
-        let revision = *lock(&leader.record_revision);
-        match replace_record(&host, &placement, revision).await {
-            WriteOutcome::Done(revision) => {
-                *lock(&leader.record_revision) = revision;
-                lock(&leader.granter).mark_written(version);
-                return;
-            }
-            WriteOutcome::Conflict(term) => {
-                leader.supersede(format!("a write of the record met one of term {term}"));
-                return;
-            }
-            WriteOutcome::Failed(error) => {
-                log::warn!("cannot write the placement record: {error}");
-                task::sleep(STORE_RETRY_DELAY).await;
+        let mut revision = leader.record_revision.lock().await;
+        if lock(&leader.granter).is_written(version) {
+            return;
+        }
+        if host.store.era() == revision.era() {
+            match write_record_if(&host, &placement, *revision).await {
+                WriteOutcome::Done(written) => {
+                    *revision = written;
+                    lock(&leader.granter).mark_written(version);
+                    return;
+                }
+                WriteOutcome::Conflict(term, _) if term > placement.term => {
+                    leader.supersede(format!("a write of the record met one of term {term}"));
+                    return;
+                }
+                WriteOutcome::Conflict(_, stored) => *revision = stored,
+                WriteOutcome::Failed(error) => {
+                    log::warn!("cannot write the placement record: {error}");
+                }
             }
         }
+        drop(revision);
+        task::sleep(STORE_RETRY_DELAY).await;
     }
 }
 
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -1,11 +1,14 @@
 //! State of the leader.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{DemandShares, Granter, RatePool, Router};
+use amaranthshunt_core::front::{
+    DemandShares, Granter, Placement, RatePool, Router, StoreRevision,
+};
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
 
@@ -22,8 +25,12 @@
     pub(super) orders: OrderClient,
     /// Every host that has ever registered or followed.
     pub(super) members: Mutex<BTreeSet<String>>,
-    /// Revision of the placement record in the store.
-    pub(super) record_revision: Mutex<u64>,
+    /// Revision of the placement record in the store; locked while the record is being written.
+    pub(super) record_revision: async_std::sync::Mutex<StoreRevision>,
+    /// The record that this host last tried to write for a new era of the store.
+    pub(super) era_record: Mutex<Option<Placement>>,
+    /// Whether a record for a new era is being written.
+    pub(super) rewriting: AtomicBool,
     /// Requests that callers sent to each host.
     pub(super) demand: Mutex<DemandShares>,
     pub(super) pool: Mutex<RatePool>,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod pool;
 mod proxy;
+mod registration;
 mod response;
 mod store;
 mod watch;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -40,9 +40,10 @@
 pub(crate) enum FollowEnd {
     /// The leader is unreachable, silent or of another term.
     LeaderLost,
-    /// The leader is shutting down, or cannot reach the store while this host can; also used when
-    /// this host itself is shutting down.
+    /// The leader is shutting down; also used when this host itself is.
     LeaderResigned,
+    /// The leader cannot reach the store while this host can.
+    StoreLost,
 }
 
 /// Accepts connections of other hosts until the task is cancelled.
@@ -153,7 +154,7 @@
 async fn follow_connection(
     host: &EntryHost,
     address: SocketAddr,
-    term: u64,
+    mut term: u64,
     requests: &Receiver<RequestAllowance>,
 ) -> Option<FollowEnd> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -183,7 +184,9 @@
         };
         last_message = clock::now();
         match message {
-            Body::Heartbeat(heartbeat) if heartbeat.term == term => {
+            // A leader begins another term when the store was restored.
+            Body::Heartbeat(heartbeat) if heartbeat.term >= term => {
+                term = heartbeat.term;
                 host.note_leader_heard();
                 let delay = transit.record(Time::from_micros(heartbeat.sent_at), clock::now());
                 host.learn_store_era(heartbeat.store_era);
@@ -212,11 +215,15 @@
                 )
                 .await
                 .ok()??;
-                if host.is_leaving() || should_replace_leader(host, &heartbeat, &mut outage_since) {
+                if host.is_leaving() {
                     return Some(FollowEnd::LeaderResigned);
                 }
+                if should_replace_leader(host, &heartbeat, &mut outage_since) {
+                    return Some(FollowEnd::StoreLost);
+                }
             }
-            Body::Table(table) if table.term == term => {
+            Body::Table(table) if table.term >= term => {
+                term = table.term;
                 host.with_router(|router, _| router.update_table(table.into()));
             }
             Body::TableChanges(changes) if changes.term == term => {
