Soak restores the store; an event no longer ends a disturbance that lasts

Now a moment's event is marked without ending anything, and the process and its link are kept apart. The bounds stay as they are; only hosts and stores that really are undisturbed are bound.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -29,7 +29,7 @@
         return None;
     };
     let host = &deployment.hosts[request.host];
-    let is_bound = host.disturbances.are_past(request.sent_at)
+    let is_bound = host.is_undisturbed(request.sent_at)
         && deployment.store_disturbances.are_past(request.sent_at);
     if !is_bound {
         return None;
@@ -102,8 +102,7 @@
         let knows = told
             .get(&request.host)
             .is_some_and(|at| *began >= *at + TOLD_DELAY);
-        let is_undisturbed =
-            host.disturbances.are_past(*began) && server.disturbances.are_past(*began);
+        let is_undisturbed = host.is_undisturbed(*began) && server.disturbances.are_past(*began);
         knows && *began >= named + CONTACT_TIME && is_undisturbed
     };
     let mut times: Vec<Instant> = runs.iter().filter(counts).map(|(at, _)| *at).collect();
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -42,8 +42,10 @@
     child: Option<Child>,
     pub(crate) is_paused: bool,
     pauses: Disturbances,
-    /// Everything that excuses the host, its pauses included.
-    pub(crate) disturbances: Disturbances,
+    /// Ends and pauses of the process.
+    process_disturbances: Disturbances,
+    /// Faults of the link to the store.
+    link_disturbances: Disturbances,
     /// Connections that callers have kept open.
     pub(crate) connections: Connections,
 }
@@ -68,7 +70,7 @@
             .spawn()?;
         self.child = Some(child);
         self.end_pause();
-        self.disturbances.end();
+        self.process_disturbances.end();
         Ok(())
     }
 
@@ -99,17 +101,17 @@
             Signal::STOP => {
                 self.is_paused = true;
                 self.pauses.begin();
-                self.disturbances.begin();
+                self.process_disturbances.begin();
             }
             Signal::CONT => {
                 self.end_pause();
-                self.disturbances.end();
+                self.process_disturbances.end();
             }
             Signal::KILL => {
                 self.end_pause();
-                self.disturbances.begin();
+                self.process_disturbances.begin();
             }
-            Signal::TERM => self.disturbances.begin(),
+            Signal::TERM => self.process_disturbances.begin(),
             _ => {}
         }
     }
@@ -124,11 +126,23 @@
     pub(crate) fn set_store_fault(&mut self, fault: LinkFault) {
         self.store_proxy.set_fault(fault);
         match fault {
-            LinkFault::None => self.disturbances.end(),
-            _ => self.disturbances.begin(),
+            LinkFault::None => self.link_disturbances.end(),
+            _ => self.link_disturbances.begin(),
         }
     }
 
+    /// Silences the open connections to the store.
+    pub(crate) fn silence_store_connections(&mut self) {
+        self.store_proxy.silence_open_connections();
+        self.link_disturbances.mark();
+    }
+
+    /// Whether neither the process nor its link to the store was disturbed up to `at`, for so long
+    /// that bounds on time hold.
+    pub(crate) fn is_undisturbed(&self, at: Instant) -> bool {
+        self.process_disturbances.are_past(at) && self.link_disturbances.are_past(at)
+    }
+
     /// Whether the process was paused at any time between `from` and `to`.
     pub(crate) fn was_paused(&self, from: Instant, to: Instant) -> bool {
         self.pauses.overlap(from, to)
@@ -320,7 +334,8 @@
             child: None,
             is_paused: false,
             pauses: Disturbances::default(),
-            disturbances: Disturbances::default(),
+            process_disturbances: Disturbances::default(),
+            link_disturbances: Disturbances::default(),
             connections: Connections::default(),
         };
         self.hosts.push(host);
--- a/crates/soak/src/disturbances.rs
+++ b/crates/soak/src/disturbances.rs
@@ -22,10 +22,17 @@
 
     /// Records that the present disturbance ends, or that something happened at this moment.
     pub(crate) fn end(&mut self) {
+        self.mark();
+        if let Some((_, end @ None)) = self.spans.last_mut() {
+            *end = Some(Instant::now());
+        }
+    }
+
+    /// Records that something happened at this moment; a disturbance that lasts goes on.
+    pub(crate) fn mark(&mut self) {
         let now = Instant::now();
-        match self.spans.last_mut() {
-            Some((_, end @ None)) => *end = Some(now),
-            _ => self.spans.push((now, Some(now))),
+        if self.spans.last().is_none_or(|(_, end)| end.is_some()) {
+            self.spans.push((now, Some(now)));
         }
     }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Fault injection and recovery.
 
 use std::path::Path;
+use std::time::Duration;
 
 use amaranthshunt_support::platform::{LinkFault, StoreFault, UpstreamFault};
 use rand::Rng;
@@ -55,7 +56,7 @@
         }
         9 => {
             deployment.store.drop_history();
-            deployment.store_disturbances.end();
+            deployment.store_disturbances.mark();
             "store: change history dropped".to_owned()
         }
         10..=11 if deployment.servers[server].is_up => {
@@ -95,10 +96,7 @@
             format!("{id}: limit of {per_second} requests per second")
         }
         21 => {
-            deployment.hosts[host]
-                .store_proxy
-                .silence_open_connections();
-            deployment.hosts[host].disturbances.end();
+            deployment.hosts[host].silence_store_connections();
             format!("open connections from {name} to the store: silent")
         }
         22 => {
@@ -108,6 +106,12 @@
                 .put("evacuations", domain, Value::Null, Value::Null);
             format!("{domain}: evacuated")
         }
+        23 => {
+            let age = Duration::from_millis(rng.random_range(500..10_000));
+            deployment.store.restore(age);
+            deployment.store_disturbances.mark();
+            format!("store: restored from a copy {} ms old", age.as_millis())
+        }
         _ => {
             clear_faults(deployment, program).await;
             "all faults cleared".to_owned()
