--- a/crates/host/tests/platform/endless.rs
+++ b/crates/host/tests/platform/endless.rs
@@ -70,7 +70,7 @@
         task::sleep(Duration::from_millis(300)).await;
         let sent = upstream.bytes_sent();
         task::sleep(Duration::from_millis(300)).await;
-        let peak = peak_memory_mb(site.child.id());
+        let peak = peak_memory_mb(site.process_id());
         assert!(statuses.contains(&expected), "{statuses:?}");
         assert!(
             statuses
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod restored_store;
 mod server_limit;
 mod site;
+mod stranded_host;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -175,7 +176,7 @@
         task::sleep(Duration::from_millis(1_700)).await;
         let late = ask(&site, Method::Post, "/pay/x", "f4").await;
         let in_flight = in_flight.await;
-        let exit_status = site.child.wait().unwrap();
+        let exit_status = site.wait_for_exit();
 
         assert_eq!(
             [
@@ -212,7 +213,7 @@
 
         signal(&site, Signal::TERM);
         let in_flight = in_flight.await;
-        let exit_status = site.child.wait().unwrap();
+        let exit_status = site.wait_for_exit();
 
         assert_eq!(status(&in_flight), 504);
         assert!(exit_status.success());
--- a/crates/host/tests/platform/site.rs
+++ b/crates/host/tests/platform/site.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use amaranthshunt_support::free_address;
@@ -27,14 +27,30 @@
     pub(crate) servers: Vec<FakeUpstream>,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
-    pub(crate) child: Child,
+    /// The first host; `None` if the test starts its hosts itself.
+    pub(crate) child: Option<Child>,
     pub(crate) folder: PathBuf,
 }
 
+impl Site {
+    /// Waits until the process of the first host has ended.
+    pub(crate) fn wait_for_exit(&mut self) -> ExitStatus {
+        let child = self.child.as_mut().expect("the site has a host");
+        child.wait().unwrap()
+    }
+
+    /// Identifier of the process of the first host.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.as_ref().expect("the site has a host").id()
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -94,6 +110,18 @@
 }
 
 pub(crate) async fn start_site(name: &str) -> Site {
+    let mut site = start_site_without_host(name).await;
+    let text = settings(site.store.address(), site.callers, site.ready);
+    site.child = Some(spawn(&site.folder, &text));
+    wait_until("the host serves keys", async || {
+        status(&ask(&site, Method::Get, "/read/x", "first").await) == 200
+    })
+    .await;
+    site
+}
+
+/// The store and the servers of a site.
+pub(crate) async fn start_site_without_host(name: &str) -> Site {
     let store = FakeObjectStore::start(free_address()).await.unwrap();
     let recorder = ServerRecorder::default();
     store.put("config", "main", config(1, "/pay/"), Value::Null);
@@ -125,21 +153,15 @@
     );
     let (callers, ready) = (free_address(), free_address());
     let folder = std::env::temp_dir().join(format!("amaranthshunt-{name}-{}", std::process::id()));
-    let child = spawn(&folder, &settings(store.address(), callers, ready));
-    let site = Site {
+    Site {
         store,
         recorder,
         servers,
         callers,
         ready,
-        child,
+        child: None,
         folder,
-    };
-    wait_until("the host serves keys", async || {
-        status(&ask(&site, Method::Get, "/read/x", "first").await) == 200
-    })
-    .await;
-    site
+    }
 }
 
 pub(crate) async fn wait_until(condition: &str, is_met: impl AsyncFn() -> bool) {
@@ -196,12 +218,15 @@
 }
 
 pub(crate) async fn add_host(site: &Site, name: &str) -> SecondHost {
-    let store = FaultProxy::start(free_address(), site.store.address())
-        .await
-        .unwrap();
+    add_host_at(name, site.store.address(), "host-1").await
+}
+
+/// Adds a host that reads the store at an address.
+pub(crate) async fn add_host_at(name: &str, store: SocketAddr, node: &str) -> SecondHost {
+    let store = FaultProxy::start(free_address(), store).await.unwrap();
     let (callers, ready) = (free_address(), free_address());
     let folder = std::env::temp_dir().join(format!("amaranthshunt-{name}-{}", std::process::id()));
-    let text = settings(store.address(), callers, ready).replace("host-0", "host-1");
+    let text = settings(store.address(), callers, ready).replace("host-0", node);
     let child = spawn(&folder, &text);
     let host = SecondHost {
         store,
@@ -217,7 +242,7 @@
 }
 
 pub(crate) fn signal(site: &Site, signal: Signal) {
-    kill_process(Pid::from_raw(site.child.id() as i32).unwrap(), signal).unwrap();
+    kill_process(Pid::from_raw(site.process_id() as i32).unwrap(), signal).unwrap();
 }
 
 pub(crate) fn run_count(site: &Site, id: &str) -> usize {
--- a/crates/support/src/platform/objects.rs
+++ b/crates/support/src/platform/objects.rs
@@ -175,18 +175,40 @@
             state: Arc::default(),
             address,
         };
-        let mut app = tide::with_state(store.clone());
-        let state = store.state.clone();
+        store.serve_translated(address, Vec::new()).await?;
+        Ok(store)
+    }
+
+    /// Serves the same objects on a further address, with other texts in place of some: a host that
+    /// reads the store there reaches servers through proxies of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn serve_translated(
+        &self,
+        address: SocketAddr,
+        translations: Vec<(String, String)>,
+    ) -> std::io::Result<()> {
+        let mut app = tide::with_state(self.clone());
+        let state = self.state.clone();
         app.with(After(move |mut response: Response| {
             let era = lock(&state).era;
             response.insert_header("Store-Era", era.to_string());
-            async move { Ok(response) }
+            let translations = translations.clone();
+            async move {
+                let mut text = response.take_body().into_string().await?;
+                for (from, to) in translations {
+                    text = text.replace(&from, &to);
+                }
+                response.set_body(text);
+                Ok(response)
+            }
         }));
         app.at("/objects/:kind").get(list_or_watch).post(create);
         app.at("/objects/:kind/:name").get(read).put(replace);
         // The server is never stopped; its tasks end with the process.
-        serve(address, app, &Tasks::default()).await?;
-        Ok(store)
+        serve(address, app, &Tasks::default()).await
     }
 
     /// The address that the store listens on.
--- a/crates/support/src/platform/proxy.rs
+++ b/crates/support/src/platform/proxy.rs
@@ -29,6 +29,8 @@
     BlocksResponses,
     /// Existing and new connections are closed.
     Reset,
+    /// Existing connections are closed and new ones are refused.
+    Refuse,
     /// Each chunk is delayed by this many milliseconds.
     Delay(u64),
 }
@@ -59,8 +61,17 @@
         };
         let this = proxy.clone();
         task::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn(this.clone().forward(stream, target));
+            let mut listener = listener;
+            loop {
+                this.accept_until_refused(&listener, target).await;
+                drop(listener);
+                while this.fault() == LinkFault::Refuse {
+                    task::sleep(POLL_INTERVAL).await;
+                }
+                match TcpListener::bind(address).await {
+                    Ok(bound) => listener = bound,
+                    Err(error) => panic!("cannot listen on {address} again: {error}"),
+                }
             }
         });
         Ok(proxy)
@@ -91,6 +102,15 @@
         *lock(&self.fault)
     }
 
+    async fn accept_until_refused(&self, listener: &TcpListener, target: SocketAddr) {
+        while self.fault() != LinkFault::Refuse {
+            let accepted = async_std::future::timeout(POLL_INTERVAL, listener.accept()).await;
+            if let Ok(Ok((stream, _))) = accepted {
+                task::spawn(self.clone().forward(stream, target));
+            }
+        }
+    }
+
     async fn forward(self, client: TcpStream, target: SocketAddr) {
         if self.fault() == LinkFault::Reset {
             return;
@@ -112,7 +132,7 @@
         let silence = self.silence.load(Ordering::Relaxed);
         loop {
             let received = async_std::future::timeout(POLL_INTERVAL, from.read(&mut chunk)).await;
-            if self.fault() == LinkFault::Reset {
+            if matches!(self.fault(), LinkFault::Reset | LinkFault::Refuse) {
                 return;
             }
             if self.silence.load(Ordering::Relaxed) != silence {
@@ -122,7 +142,7 @@
             let Ok(count @ 1..) = received else { return };
             loop {
                 match self.fault() {
-                    LinkFault::Reset => return,
+                    LinkFault::Reset | LinkFault::Refuse => return,
                     LinkFault::BlocksAll | LinkFault::BlocksResponses if was_reset(&from) => return,
                     LinkFault::BlocksAll => task::sleep(POLL_INTERVAL).await,
                     LinkFault::BlocksResponses if !to_target => task::sleep(POLL_INTERVAL).await,
