--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -1,6 +1,7 @@
 //! Routes requests to servers.
 
 mod limits;
+mod reach;
 mod selection;
 mod settling;
 mod types;
@@ -23,6 +24,7 @@
 use crate::time::Time;
 
 pub use limits::RateLimitReport;
+use reach::Reach;
 use settling::Settling;
 pub use types::{AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target};
 
@@ -58,6 +60,7 @@
     /// Until when an entry that is missing from the store may be registered again.
     reregistration_until: Time,
     settling: Settling,
+    reach: Reach,
     splitter: WeightedSplitter,
     retry_budget: RetryBudgetShare,
     key_counts: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
@@ -94,6 +97,7 @@
             hosts: ASSUMED_HOSTS,
             reregistration_until: Time::ZERO,
             settling: Settling::default(),
+            reach: Reach::default(),
             splitter: WeightedSplitter::default(),
             retry_budget,
             key_counts: BTreeMap::new(),
@@ -355,6 +359,11 @@
         outcome: AttemptOutcome,
         report: Option<LoadReport>,
     ) {
+        match outcome {
+            AttemptOutcome::Unreachable => self.reach.record_failure(now, &target.entry.id),
+            AttemptOutcome::Lost | AttemptOutcome::Abandoned => {}
+            _ => self.reach.record_answer(now),
+        }
         let baseline = self.baseline_latency(&target.entry.service);
         let typical = self.typical_load(&target.entry.service);
         let has_many_hosts = self.hosts >= MANY_HOSTS;
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -58,6 +58,17 @@
     ///
     /// Refuses the request if no configuration is known or no route matches.
     pub fn plan(&mut self, now: Time, host: &str, target: &str) -> Result<RoutePlan, RouteRefusal> {
+        let plan = self.plan_relayed(host, target)?;
+        self.retry_budget.record_request(now, &plan.service);
+        Ok(plan)
+    }
+
+    /// Finds the route and service of a request that another host has received and counted.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if no configuration is known or no route matches.
+    pub fn plan_relayed(&mut self, host: &str, target: &str) -> Result<RoutePlan, RouteRefusal> {
         let Some(config) = self.config.clone() else {
             return Err(RouteRefusal::new(RefusalCause::NoConfig, MAX_RETRY_AFTER));
         };
@@ -74,7 +85,6 @@
             .services
             .get(&service)
             .is_some_and(|service| service.keyed);
-        self.retry_budget.record_request(now, &service);
         Ok(RoutePlan {
             route: route.clone(),
             service,
@@ -151,7 +161,8 @@
         })
     }
 
-    fn region_of(&self, domain: &str) -> Option<&String> {
+    /// The region of a failure domain.
+    pub fn region_of(&self, domain: &str) -> Option<&String> {
         self.settings.regions.get(domain)
     }
 
@@ -221,7 +232,8 @@
             && state.ejected_until <= now
     }
 
-    fn is_home_region(&self, route: &Route, domain: &str) -> bool {
+    /// Whether requests of a route may go to servers and hosts of a failure domain.
+    pub fn is_home_region(&self, route: &Route, domain: &str) -> bool {
         let region = self.settings.regions.get(domain);
         route.home_regions.is_empty()
             || region.is_some_and(|region| route.home_regions.contains(region))
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -88,6 +88,8 @@
     Deadline,
     /// Several servers have crashed while executing the request.
     Quarantined,
+    /// This host reaches no server, and no other host can help.
+    NoReach,
     /// The host is shutting down.
     Leaving,
     /// The host itself is too late to serve the request in time.
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -70,6 +70,8 @@
     pub load: ServerLoad,
     /// Until when it is cold.
     pub cold_until: Time,
+    /// Until when it counts as cold because it could not be reached: it may have restarted.
+    presumed_cold_until: Time,
     /// Limit on requests while it is cold.
     pub cold_limiter: RateShareLimiter,
     /// The limit that it has named in its last response, if that named one.
@@ -101,6 +103,7 @@
             entry,
             load: ServerLoad::default(),
             cold_until: now + warmup_left,
+            presumed_cold_until: Time::ZERO,
             cold_limiter: RateShareLimiter::default(),
             rate_limit: None,
             rate_limiter: RateShareLimiter::default(),
@@ -118,7 +121,7 @@
 
     /// Whether it is cold.
     pub fn is_cold(&self, now: Time) -> bool {
-        self.cold_until > now
+        self.cold_until.max(self.presumed_cold_until) > now
     }
 
     /// Whether it may end a new connection at once, since it has done so lately.
@@ -132,12 +135,17 @@
         let newly_ejected = self.ejected_until <= now;
         self.ejected_until = now + self.next_ejection;
         self.next_ejection = (self.next_ejection * 2).min(MAX_EJECTION);
-        self.cold_until = self
-            .cold_until
-            .max(self.ejected_until + COLD_AFTER_UNREACHABLE);
+        self.presumed_cold_until = self.ejected_until + COLD_AFTER_UNREACHABLE;
         newly_ejected
     }
 
+    /// Forgets that the server could not be reached: the fault was this host's.
+    pub(super) fn forget_failures(&mut self) {
+        self.ejected_until = Time::ZERO;
+        self.presumed_cold_until = Time::ZERO;
+        self.record_success();
+    }
+
     /// Records a failed or lost answer; returns whether the server is now ejected because of it.
     pub fn record_failure(&mut self, now: Time) -> bool {
         self.consecutive_failures += 1;
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -115,6 +115,10 @@
     LimitEnded = 1315, Info, "backend server names no limit any more";
     /// A backend server names a limit that is not a number.
     LimitInvalid = 1316, Warn, "backend server names an invalid limit";
+    /// The host reaches no backend server and passes requests on to other hosts.
+    ReachLost = 1317, Error, "host reaches no backend server";
+    /// The host reaches backend servers again.
+    ReachRegained = 1318, Info, "host reaches backend servers again";
     /// The store does not respond.
     #[serde(rename = "StoreSilent")]
     StoreUnavailable = 1401, Error, "object store does not answer";
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -9,6 +9,7 @@
 mod hot_keys;
 mod many_hosts;
 mod rate_limits;
+mod reach;
 mod restored_store;
 mod routes;
 mod servers;
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -14,7 +14,7 @@
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::{Connection, HttpError, RequestHead, within};
-use crate::proxy::{Request, serve};
+use crate::proxy::{Origin, Request, SENDS, serve};
 use crate::response::Response;
 
 /// Interval of the checks whether the host is shutting down.
@@ -27,6 +27,8 @@
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Maximum `Retry-After` of an overloaded host; the caller's retry goes to another host.
 const MAX_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Bytes of the headers that another host adds to a request.
+const HOST_HEADER_BYTES: usize = 256;
 /// Delay after a failed accept, so that file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -35,7 +37,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                task::spawn(serve_connection(host.clone(), Connection::new(stream)));
+                let connection = Connection::new(stream);
+                task::spawn(serve_connection(host.clone(), connection, Sender::Caller));
             }
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
@@ -45,10 +48,26 @@
     }
 }
 
+/// Who sends the requests of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// Another host that reaches no server.
+    Host,
+}
+
 /// Serves the requests of one connection in sequence.
-async fn serve_connection(host: Arc<EntryHost>, mut connection: Connection) {
+pub(crate) async fn serve_connection(
+    host: Arc<EntryHost>,
+    mut connection: Connection,
+    sender: Sender,
+) {
     loop {
-        let limits = current_limits(&host);
+        let mut limits = current_limits(&host);
+        if sender == Sender::Host {
+            limits.header_bytes += HOST_HEADER_BYTES;
+        }
         if !wait_for_request(&host, &mut connection, &limits).await {
             return;
         }
@@ -58,7 +77,7 @@
         )
         .await;
         let keep_open = match head {
-            Ok(head) => handle_request(&host, &mut connection, head, &limits).await,
+            Ok(head) => handle_request(&host, &mut connection, head, &limits, sender).await,
             Err(error) => {
                 respond_to_read_error(&host, &connection, &error).await;
                 false
@@ -111,6 +130,7 @@
     connection: &mut Connection,
     head: RequestHead,
     limits: &Limits,
+    sender: Sender,
 ) -> bool {
     let received = clock::now() - host.delay().estimate();
     let header_number = |name| {
@@ -148,13 +168,26 @@
         .to_owned();
     let keep_alive = head.keep_alive;
     let authority = head.headers.get("host").unwrap_or_default().to_owned();
+    let origin = match sender {
+        Sender::Caller => Origin::Caller,
+        Sender::Host => Origin::Host {
+            sends: header_number(SENDS).unwrap_or_default() as usize,
+        },
+    };
     let plan_result = if host.refuses_requests() {
         Err(RouteRefusal {
             cause: RefusalCause::Leaving,
             retry_after: Some(SHUTDOWN_RETRY_AFTER),
         })
     } else {
-        host.with_router(|router, now| router.plan(now, &authority, &head.target))
+        host.with_router(|router, now| match sender {
+            Sender::Caller => router.plan(now, &authority, &head.target),
+            Sender::Host if !router.reaches_servers() => Err(RouteRefusal {
+                cause: RefusalCause::NoReach,
+                retry_after: None,
+            }),
+            Sender::Host => router.plan_relayed(&authority, &head.target),
+        })
     };
     let response = match plan_result {
         Err(refusal) => Some(refuse_request(host, &id, refusal)),
@@ -174,6 +207,7 @@
                 caller_timeout,
                 caller_left: AtomicBool::new(false),
                 plan,
+                origin,
             };
             serve_while_connected(host, connection, Arc::new(request)).await
         }
@@ -182,6 +216,10 @@
         host.counters.abandoned.add();
         return false;
     };
+    let response = match sender {
+        Sender::Caller => response,
+        Sender::Host => response.for_host(),
+    };
     let keep_alive = keep_alive && !host.is_leaving();
     let bytes = response.to_bytes(
         Some(&id).filter(|id| !id.is_empty()).map(String::as_str),
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::counters::Counters;
 use crate::gauges::Gauges;
+use crate::helpers::Helpers;
 use crate::http::BufferBudget;
 use crate::leadership::LeaderState;
 use crate::lock::lock;
@@ -40,6 +41,8 @@
     pub(crate) store: StoreClient,
     pub(crate) pool: Pool,
     pub(crate) counters: Counters,
+    /// Hosts that serve requests while this one reaches no server.
+    pub(crate) helpers: Helpers,
     /// What this host asks the leader for beyond its share of servers' limits.
     pub(crate) allowances: Allowances,
     /// Memory of incomplete responses of servers.
@@ -71,6 +74,7 @@
             store: StoreClient::new(settings.store_address),
             pool: Pool::default(),
             counters: Counters::default(),
+            helpers: Helpers::default(),
             allowances: Allowances::default(),
             response_buffers: BufferBudget::new(settings.response_memory()),
             router: Mutex::new(Router::new(settings.router())),
@@ -149,6 +153,11 @@
         }
     }
 
+    /// Whether this host reaches servers, as far as it knows.
+    pub(crate) fn reaches_servers(&self) -> bool {
+        self.with_router(|router, _| router.reaches_servers())
+    }
+
     /// How late the tasks of this host run.
     pub(crate) fn delay(&self) -> HostDelay {
         *lock(&self.delay)
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -98,6 +98,11 @@
         if host.is_leaving() {
             return;
         }
+        // A leader that cannot give orders would only keep others from it.
+        if !host.reaches_servers() {
+            task::sleep(STORE_RETRY_DELAY).await;
+            continue;
+        }
         let may_lead = candidate.needs_no_answers(&host, &record, follow_end)
             || !others_hear_leader(&hosts).await;
         if !may_lead {
@@ -308,6 +313,12 @@
             task::spawn(refresh_members(host.clone(), leader.clone()));
         }
         task::sleep(TICK_INTERVAL).await;
+        if !host.reaches_servers() && !leader.helpers().is_empty() {
+            host.helpers.update(&leader.helpers());
+            leader.broadcast(Body::Resign(true));
+            leader.supersede("this host reaches no server".to_owned());
+            break;
+        }
         if host.is_leaving() {
             leader.broadcast(Body::Resign(true));
             leader.supersede("the host is leaving".to_owned());
--- a/crates/front/src/leadership/execution.rs
+++ b/crates/front/src/leadership/execution.rs
@@ -81,7 +81,7 @@
         let key = servers.find(server)?;
         servers.get(key).map(|standing| standing.entry.clone())
     });
-    let leader = leader.clone();
+    let (host, leader) = (host.clone(), leader.clone());
     let Some(entry) = entry else {
         let reply = OrderReply::NotSent;
         let now = clock::now();
@@ -97,6 +97,9 @@
     task::spawn(async move {
         let may_send = || leader.may_send_orders(clock::now());
         let (sent, reply) = leader.orders.send(&request, may_send).await;
+        if reply == OrderReply::NotSent && leader.may_send_orders(clock::now()) {
+            host.with_router(|router, now| router.record_failed_order(now, &request.entry.id));
+        }
         lock(&leader.granter).handle_reply(clock::now(), call, sent, reply);
     });
 }
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -6,7 +6,9 @@
 use super::LeaderState;
 use crate::entry_host::EntryHost;
 use crate::lock::lock;
-use crate::messages::{Body, DemandShareMessage, Heartbeat, KeyCounts, OverloadMessage, Report};
+use crate::messages::{
+    Body, DemandShareMessage, Heartbeat, HelperMessage, KeyCounts, OverloadMessage, Report,
+};
 use crate::watch::KINDS;
 
 /// Takes in this host's own report, and sends a heartbeat to all followers.
@@ -28,6 +30,7 @@
             term: 0,
             limits: Vec::new(),
             store_era: host.store.era(),
+            lacks_servers: false,
         },
     );
     let member_count = lock(&leader.members).len();
@@ -58,15 +61,28 @@
         overloads: overloads.iter().map(OverloadMessage::from).collect(),
         demand_shares: Vec::new(),
         counts_limits: true,
+        helpers: Vec::new(),
     };
     let own = lock(&leader.demand).tell(&host.settings.name);
     host.with_router(|router, now| router.update_demand_shares(now, own));
-    leader.send_each(|follower| {
-        let shares = lock(&leader.demand).tell(follower);
+    let region_of = |domain: &str| host.with_router(|router, _| router.region_of(domain).cloned());
+    let mut helpers = leader.helpers();
+    host.helpers.update(&helpers);
+    if host.reaches_servers() {
+        helpers.push(HelperMessage {
+            name: host.settings.name.clone(),
+            address: host.settings.peers_address().to_string(),
+            domain: host.settings.domain.clone(),
+        });
+    }
+    leader.send_each(|name, follower| {
+        let shares = lock(&leader.demand).tell(name);
+        let helpers = follower.helpers_to_tell(name, &helpers, region_of);
         let messages = shares.iter();
         let messages = messages.map(|(service, share)| DemandShareMessage::new(service, *share));
         Body::Heartbeat(Heartbeat {
             demand_shares: messages.collect(),
+            helpers,
             ..heartbeat.clone()
         })
     });
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -11,13 +11,18 @@
 };
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::allowances::AllowanceReply;
 use crate::clock;
+use crate::link::encode_frame;
 use crate::lock::lock;
-use crate::messages::{Body, Report, TableMessage, encode_frame};
+use crate::messages::{Body, Hello, HelperMessage, Report, TableMessage};
 use crate::orders::OrderClient;
 
+/// Maximum number of hosts that a host is told as those that can help it.
+const MAX_HELPERS: usize = 12;
+
 /// The granter and the followers of the leader.
 pub(crate) struct LeaderState {
     pub(super) granter: Mutex<Granter>,
@@ -43,13 +48,52 @@
     /// Distinguishes connections of the same host.
     connection_number: u64,
     sender: Sender<Bytes>,
+    /// What other hosts need to pass requests on to it.
+    helper: HelperMessage,
+    /// Whether it reaches no server.
+    lacks_servers: bool,
+    /// The hosts that it was told last as those that can help it.
+    told_helpers: Vec<HelperMessage>,
     /// The time in the last heartbeat to which the follower replied.
     pub(super) last_echo: Time,
 }
 
+impl Follower {
+    /// The hosts that can help the follower, if they are other ones than it was told last: those of
+    /// its failure domain first, then of its region.
+    pub(super) fn helpers_to_tell(
+        &mut self,
+        name: &str,
+        helpers: &[HelperMessage],
+        region_of: impl Fn(&str) -> Option<String>,
+    ) -> Vec<HelperMessage> {
+        let own_region = region_of(&self.helper.domain);
+        let others = helpers.iter().filter(|helper| helper.name != name);
+        let mut nearest: Vec<&HelperMessage> = others.collect();
+        nearest.sort_by_cached_key(|helper| {
+            let is_domain = helper.domain == self.helper.domain;
+            let is_region = region_of(&helper.domain) == own_region;
+            let spread = xxh3_64_with_seed(helper.name.as_bytes(), xxh3_64(name.as_bytes()));
+            (!is_domain, !is_region, spread)
+        });
+        // Those nearest, and others in case that the whole region is cut.
+        let (near, far) = nearest.split_at(nearest.len().min(MAX_HELPERS / 2));
+        let mut far: Vec<&HelperMessage> = far.to_vec();
+        far.sort_by_cached_key(|helper| region_of(&helper.domain) == own_region);
+        let chosen = near.iter().copied().chain(far).take(MAX_HELPERS).cloned();
+        let chosen: Vec<HelperMessage> = chosen.collect();
+        if chosen == self.told_helpers {
+            return Vec::new();
+        }
+        self.told_helpers.clone_from(&chosen);
+        chosen
+    }
+}
+
 impl LeaderState {
     /// Adds a follower, and sends it the table; returns the number of its connection.
-    pub(crate) fn add_follower(&self, name: &str, sender: Sender<Bytes>) -> u64 {
+    pub(crate) fn add_follower(&self, hello: &Hello, sender: Sender<Bytes>) -> u64 {
+        let name = hello.name.as_str();
         let table = TableMessage::from(lock(&self.granter).table());
         enqueue(name, &sender, encode_frame(Body::Table(table)));
         lock(&self.members).insert(name.to_owned());
@@ -60,6 +104,13 @@
         let follower = Follower {
             connection_number,
             sender,
+            helper: HelperMessage {
+                name: hello.name.clone(),
+                address: hello.address.clone(),
+                domain: hello.domain.clone(),
+            },
+            lacks_servers: hello.lacks_servers,
+            told_helpers: Vec::new(),
             last_echo: Time::ZERO,
         };
         followers.insert(name.to_owned(), follower);
@@ -99,6 +150,7 @@
     pub(crate) fn handle_report(&self, name: &str, report: Report) {
         if let Some(follower) = lock(&self.followers).get_mut(name) {
             follower.last_echo = Time::from_micros(report.echo);
+            follower.lacks_servers = report.lacks_servers;
         }
         let mut granter = lock(&self.granter);
         let now = clock::now();
@@ -140,12 +192,22 @@
     }
 
     /// Sends each follower a message of its own.
-    pub(super) fn send_each(&self, body: impl Fn(&str) -> Body) {
-        for (name, follower) in lock(&self.followers).iter() {
-            enqueue(name, &follower.sender, encode_frame(body(name)));
+    pub(super) fn send_each(&self, body: impl Fn(&str, &mut Follower) -> Body) {
+        for (name, follower) in lock(&self.followers).iter_mut() {
+            let body = body(name, follower);
+            enqueue(name, &follower.sender, encode_frame(body));
         }
     }
 
+    /// The followers that reach servers.
+    pub(super) fn helpers(&self) -> Vec<HelperMessage> {
+        let followers = lock(&self.followers);
+        let helpers = followers
+            .values()
+            .filter(|follower| !follower.lacks_servers && !follower.helper.address.is_empty());
+        helpers.map(|follower| follower.helper.clone()).collect()
+    }
+
     /// The latest time at which more than half of the hosts, this one included, knew of no other
     /// leader; `None` if too few follow.
     pub(super) fn majority_echo(&self, host_count: usize) -> Option<Time> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,7 +3,8 @@
 //! Requests: `callers` reads them, and `proxy` asks the router for a server and sends them over a
 //! connection from `pool`. Grants of keys: `leadership` elects the leader, the one host that grants
 //! keys, `orders` sends its grants to servers, and `peers` connects it to the other hosts. `watch`
-//! keeps the router's view of the store up to date through `store`.
+//! keeps the router's view of the store up to date through `store`. `reach` notices that this host
+//! reaches no server; `proxy` then passes requests on to one of the `helpers`.
 
 mod allowances;
 mod callers;
@@ -12,8 +13,10 @@
 mod counters;
 mod entry_host;
 mod gauges;
+mod helpers;
 mod http;
 mod leadership;
+mod link;
 mod lock;
 mod logs;
 mod messages;
@@ -22,6 +25,7 @@
 mod peers;
 mod pool;
 mod proxy;
+mod reach;
 mod registration;
 mod response;
 mod store;
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -10,15 +10,7 @@
 use amaranthshunt_core::front::{
     Overload, RateLimit, RateLimitReport, RoutingSpan, RoutingTable, ServerEntry, StoreRevision,
 };
-use async_std::net::TcpStream;
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
 use prost::{Message, Oneof};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
-use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
-
-/// Maximum length of a message, in bytes; a table of some thousand key ranges fits.
-const FRAME_LIMIT: usize = 1 << 20;
 
 /// The frame of every message.
 #[derive(Clone, Message, PartialEq)]
@@ -94,6 +86,25 @@
 pub(crate) struct Hello {
     #[prost(string, tag = "1")]
     pub(crate) name: String,
+    /// The address at which the follower serves requests of hosts that reach no server.
+    #[prost(string, tag = "2")]
+    pub(crate) address: String,
+    #[prost(string, tag = "3")]
+    pub(crate) domain: String,
+    /// Whether the follower reaches no server.
+    #[prost(bool, tag = "4")]
+    pub(crate) lacks_servers: bool,
+}
+
+/// A host that serves requests of hosts that reach no server.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct HelperMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) name: String,
+    #[prost(string, tag = "2")]
+    pub(crate) address: String,
+    #[prost(string, tag = "3")]
+    pub(crate) domain: String,
 }
 
 /// A heartbeat of the leader.
@@ -132,6 +143,9 @@
     /// The era of each revision in `changes`.
     #[prost(uint64, repeated, tag = "11")]
     pub(crate) change_eras: Vec<u64>,
+    /// Hosts that reach servers, if they have changed.
+    #[prost(message, repeated, tag = "12")]
+    pub(crate) helpers: Vec<HelperMessage>,
 }
 
 impl Heartbeat {
@@ -297,6 +311,9 @@
     /// The latest era of the store's history that the sender knows of.
     #[prost(uint64, tag = "6")]
     pub(crate) store_era: u64,
+    /// Whether the sender reaches no server.
+    #[prost(bool, tag = "7")]
+    pub(crate) lacks_servers: bool,
 }
 
 /// The limit of a server on requests per second.
@@ -457,50 +474,3 @@
     let spans = spans.collect();
     (Arc::from(encoded.service.as_str()), spans)
 }
-
-/// Encodes a message, once for all its recipients.
-pub(crate) fn encode_frame(body: Body) -> Bytes {
-    let envelope = Envelope { body: Some(body) };
-    Bytes::from(envelope.encode_to_vec())
-}
-
-/// A connection to another host.
-pub(crate) struct Link {
-    framed: Framed<Compat<TcpStream>, LengthDelimitedCodec>,
-}
-
-impl Link {
-    /// Wraps an open stream.
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        // A failure costs only latency; a broken connection is noticed at its first use.
-        let _ = stream.set_nodelay(true);
-        let codec = LengthDelimitedCodec::builder()
-            .max_frame_length(FRAME_LIMIT)
-            .new_codec();
-        Self {
-            framed: Framed::new(stream.compat(), codec),
-        }
-    }
-
-    /// Sends a message; `None` if the connection is broken.
-    pub(crate) async fn send(&mut self, body: Body) -> Option<()> {
-        self.send_frame(encode_frame(body)).await
-    }
-
-    /// Sends an encoded message; `None` if the connection is broken.
-    pub(crate) async fn send_frame(&mut self, bytes: Bytes) -> Option<()> {
-        self.framed.send(bytes).await.ok()
-    }
-
-    /// Receives a message; `None` if the connection has ended or the message is invalid.
-    pub(crate) async fn receive(&mut self) -> Option<Body> {
-        let frame = self.framed.next().await?.ok()?;
-        match Envelope::decode(frame) {
-            Ok(envelope) => envelope.body,
-            Err(error) => {
-                log::warn!("ending a connection with a host: invalid message: {error}");
-                None
-            }
-        }
-    }
-}
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -13,12 +13,14 @@
 use async_std::task;
 use futures::future::{Either, select};
 
+use crate::callers::{self, Sender};
 use crate::clock;
 use crate::entry_host::EntryHost;
+use crate::http::Connection;
 use crate::leadership::{LeaderState, take_key_counts};
+use crate::link::Link;
 use crate::messages::{
-    Allowance, Body, DemandShareMessage, Heartbeat, Hello, LimitMessage, Link, Report,
-    RequestAllowance,
+    Allowance, Body, DemandShareMessage, Heartbeat, Hello, LimitMessage, Report, RequestAllowance,
 };
 use crate::watch::{self, KINDS};
 
@@ -51,7 +53,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                task::spawn(serve_connection(host.clone(), Link::new(stream)));
+                task::spawn(serve_connection(host.clone(), stream));
             }
             Err(error) => {
                 log::warn!("cannot accept a host's connection: {error}");
@@ -61,7 +63,17 @@
     }
 }
 
-async fn serve_connection(host: Arc<EntryHost>, mut link: Link) -> Option<()> {
+/// Serves a connection of another host: messages in frames, or requests in HTTP that a host passes
+/// on. A frame begins with its length, whose first byte is never a letter.
+async fn serve_connection(host: Arc<EntryHost>, stream: TcpStream) -> Option<()> {
+    let mut first = [0];
+    let peeked = timeout(HELLO_TIMEOUT, stream.peek(&mut first)).await;
+    if peeked.ok()?.ok()? == 1 && first[0].is_ascii_alphabetic() {
+        let connection = Connection::new(stream);
+        callers::serve_connection(host, connection, Sender::Host).await;
+        return None;
+    }
+    let mut link = Link::new(stream);
     match timeout(HELLO_TIMEOUT, link.receive()).await.ok()?? {
         Body::Hello(hello) => serve_follower(&host, link, hello).await,
         Body::QuerySilence(_) => {
@@ -77,7 +89,7 @@
 async fn serve_follower(host: &EntryHost, mut link: Link, hello: Hello) -> Option<()> {
     let leader = host.leader_state()?;
     let (sender, messages) = bounded(QUEUE_CAPACITY);
-    let connection_number = leader.add_follower(&hello.name, sender);
+    let connection_number = leader.add_follower(&hello, sender);
     loop {
         let next = Box::pin(messages.recv());
         let received = Box::pin(link.receive());
@@ -162,8 +174,13 @@
         .ok()?
         .ok()?;
     let mut link = Link::new(stream);
-    let name = host.settings.name.clone();
-    link.send(Body::Hello(Hello { name })).await?;
+    let hello = Hello {
+        name: host.settings.name.clone(),
+        address: host.settings.peers_address().to_string(),
+        domain: host.settings.domain.clone(),
+        lacks_servers: !host.reaches_servers(),
+    };
+    link.send(Body::Hello(hello)).await?;
     let mut outage_since: Option<Time> = None;
     let mut transit = TransitDelay::default();
     let mut last_message = clock::now();
@@ -190,6 +207,9 @@
                 host.note_leader_heard();
                 let delay = transit.record(Time::from_micros(heartbeat.sent_at), clock::now());
                 host.learn_store_era(heartbeat.store_era);
+                if !heartbeat.helpers.is_empty() {
+                    host.helpers.update(&heartbeat.helpers);
+                }
                 let states = heartbeat.change_revisions().zip(&heartbeat.ages_ms);
                 for (kind, (change, age)) in KINDS.iter().zip(states) {
                     let age = Duration::from_millis(*age) + delay;
@@ -257,6 +277,7 @@
             .map(LimitMessage::from)
             .collect(),
         store_era: host.store.era(),
+        lacks_servers: !host.reaches_servers(),
     }
 }
 
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -16,16 +16,27 @@
 /// connections as slots.
 const IDLE_LIMIT: usize = 8;
 
-/// Identifies one run of a server process, so that no connection outlives a restart.
+/// Identifies one run of a server process, so that no connection outlives a restart, or another host.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct PoolKey {
+pub(crate) struct PoolKey {
     address: SocketAddr,
     id: String,
     start_id: Option<u64>,
 }
 
 impl PoolKey {
-    fn of(entry: &ServerEntry) -> Self {
+    /// The key of another host.
+    pub(crate) fn of_host(name: &str, address: SocketAddr) -> Self {
+        Self {
+            address,
+            id: name.to_owned(),
+            start_id: None,
+        }
+    }
+}
+
+impl From<&ServerEntry> for PoolKey {
+    fn from(entry: &ServerEntry) -> Self {
         Self {
             address: entry.address,
             id: entry.id.to_string(),
@@ -40,7 +51,7 @@
     expires_at: Time,
 }
 
-/// Idle connections by server run.
+/// Idle connections by server run or host.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<PoolKey, Vec<IdleConnection>>>,
@@ -48,9 +59,9 @@
 
 impl Pool {
     /// Takes a connection that the server has neither closed nor written to.
-    pub(crate) fn take(&self, entry: &ServerEntry) -> Option<Connection> {
+    pub(crate) fn take(&self, key: impl Into<PoolKey>) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        let connections = idle.get_mut(&PoolKey::of(entry))?;
+        let connections = idle.get_mut(&key.into())?;
         while let Some(IdleConnection {
             connection,
             expires_at,
@@ -64,9 +75,14 @@
     }
 
     /// Returns a connection to the pool for `idle_timeout`.
-    pub(crate) fn keep(&self, entry: &ServerEntry, connection: Connection, idle_timeout: Duration) {
+    pub(crate) fn keep(
+        &self,
+        key: impl Into<PoolKey>,
+        connection: Connection,
+        idle_timeout: Duration,
+    ) {
         let mut idle = lock(&self.idle);
-        let connections = idle.entry(PoolKey::of(entry)).or_default();
+        let connections = idle.entry(key.into()).or_default();
         if connections.len() < IDLE_LIMIT {
             let expires_at = clock::now() + idle_timeout;
             connections.push(IdleConnection {
@@ -78,7 +94,12 @@
 
     /// Closes the idle connections to a server: they may be as unresponsive as the one that failed.
     pub(crate) fn close_idle_connections(&self, entry: &ServerEntry) {
-        lock(&self.idle).remove(&PoolKey::of(entry));
+        lock(&self.idle).remove(&PoolKey::from(entry));
+    }
+
+    /// Closes all idle connections.
+    pub(crate) fn close_all(&self) {
+        lock(&self.idle).clear();
     }
 
     /// Closes connections whose idle timeout has passed.
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Proxies one request to a server, with retries.
 
+mod relay;
 mod send;
 
 use std::sync::Arc;
@@ -20,6 +21,8 @@
 use crate::http::{RequestHead, ResponseHead};
 use crate::messages::MissingKey;
 use crate::response::Response;
+use relay::relay;
+pub(crate) use relay::{REFUSAL, SENDS, SERVER};
 use send::{SendResult, send};
 
 /// Minimum time that must remain until the deadline for an attempt to start.
@@ -40,6 +43,17 @@
     /// Whether the caller has disconnected.
     pub(crate) caller_left: AtomicBool,
     pub(crate) plan: RoutePlan,
+    pub(crate) origin: Origin,
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another host, which reaches no server and has sent it to servers this often already. It is
+    /// never passed on again.
+    Host { sends: usize },
 }
 
 impl Request {
@@ -60,21 +74,21 @@
         self.head.method == "HEAD"
     }
 
-    fn to_bytes(&self, target: &Target, remaining: Duration) -> Vec<u8> {
+    /// The request with what is left of its time and one more header.
+    fn to_bytes(&self, remaining: Duration, header: &str, value: &str) -> Vec<u8> {
         let Self { head, body, .. } = self;
         let mut bytes = format!("{} {} HTTP/1.1\r\n", head.method, head.target).into_bytes();
         let replaced = [
             platform::REQUEST_DEADLINE,
             platform::TARGET_INSTANCE,
+            relay::SENDS,
             "expect",
         ];
         head.headers.write_end_to_end(&mut bytes, &replaced);
         let mut own_headers = format!(
-            "{}: {}\r\n{}: {}\r\n",
+            "{}: {}\r\n{header}: {value}\r\n",
             platform::REQUEST_DEADLINE,
             remaining.as_millis(),
-            platform::TARGET_INSTANCE,
-            target.entry.id
         );
         if !body.is_empty()
             || head.headers.contains("content-length")
@@ -101,8 +115,16 @@
 /// Sends a request to servers until it has a final response.
 pub(crate) async fn serve(host: Arc<EntryHost>, request: Arc<Request>) -> Response {
     let mut attempts = Attempts::default();
-    host.with_router(|router, _| router.record_demand(&request.plan, request.shard_key()));
+    match request.origin {
+        Origin::Caller => {
+            host.with_router(|router, _| router.record_demand(&request.plan, request.shard_key()));
+        }
+        Origin::Host { sends } => attempts.sends = sends,
+    }
     loop {
+        if request.origin == Origin::Caller && must_relay(&host, &attempts) {
+            return relay(&host, &request, attempts).await;
+        }
         let remaining = request.deadline().since(clock::now());
         if remaining < MIN_ATTEMPT_TIME {
             return attempts.final_response(RouteRefusal {
@@ -171,6 +193,14 @@
     }
 }
 
+/// Whether a request has to go to another host: this one reaches no server, or may reach none and
+/// has failed to connect for this request.
+fn must_relay(host: &EntryHost, attempts: &Attempts) -> bool {
+    host.with_router(|router, now| {
+        !router.reaches_servers() || attempts.unreachable > 0 && router.may_lack_servers(now)
+    })
+}
+
 /// The results of earlier attempts of a request.
 #[derive(Default)]
 struct Attempts {
@@ -369,5 +399,5 @@
         attempts.avoided.push(target.server);
         return NextStep::MayHaveRun(502, format!("{server} responded with {}", head.status));
     }
-    NextStep::Done(Response::forwarded(head, body, request.is_bodiless()))
+    NextStep::Done(Response::forwarded(head, body, request.is_bodiless()).made_by(server.clone()))
 }
--- /dev/null
+++ b/crates/front/src/proxy/relay.rs
@@ -0,0 +1,204 @@
+//! Passes a request on to another host, since this one reaches no server.
+
+use std::time::Duration;
+
+use amaranthshunt_core::front::{RateLimitReport, RefusalCause, RouteRefusal};
+use amaranthshunt_platform as platform;
+use bytes::Bytes;
+
+use super::{Attempts, MIN_ATTEMPT_TIME, Request};
+use crate::clock;
+use crate::entry_host::EntryHost;
+use crate::helpers::{Distance, HelperGuard};
+use crate::http::{Connection, Headers, HttpError, ResponseHead, within};
+use crate::pool::PoolKey;
+use crate::response::Response;
+
+/// Header of a request that another host has received: how often it was sent to servers already.
+pub(crate) const SENDS: &str = "amaranthshunt-sends";
+/// Header of a response that refuses such a request: the cause.
+pub(crate) const REFUSAL: &str = "amaranthshunt-refusal";
+/// Header of a response to such a request: the server that made it.
+pub(crate) const SERVER: &str = "amaranthshunt-server";
+/// Hosts that are asked to serve a request, at most.
+const HELPER_LIMIT: usize = 3;
+/// Timeout for connecting to another host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time past a request's deadline in which the other host's response may still arrive.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
+/// Time after which an idle connection to another host is not used again: it may have gone silent.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longest response body that is accepted, in bytes.
+const RESPONSE_BODY_LIMIT: usize = 32 << 20;
+/// When a caller may retry if no host can help.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// The result of passing a request on once.
+enum RelayResult {
+    Response(ResponseHead, Bytes),
+    /// The other host has not run the request.
+    Refused(RouteRefusal),
+    /// The other host was not reached, or cannot help.
+    Unavailable,
+    /// The connection failed; the request may have run.
+    Lost(HttpError),
+}
+
+/// Passes a request on to other hosts until one of them has a final response.
+pub(super) async fn relay(host: &EntryHost, request: &Request, mut attempts: Attempts) -> Response {
+    let mut excluded = Vec::new();
+    let mut refusal = RouteRefusal {
+        cause: RefusalCause::NoReach,
+        retry_after: Some(RETRY_AFTER),
+    };
+    while excluded.len() < HELPER_LIMIT {
+        let remaining = request.deadline().since(clock::now());
+        if remaining < MIN_ATTEMPT_TIME {
+            refusal.cause = RefusalCause::Deadline;
+            break;
+        }
+        let Some(helper) = choose_helper(host, request, &excluded) else {
+            break;
+        };
+        excluded.push(helper.name.clone());
+        host.counters.relayed.add();
+        match send(host, request, &helper, attempts.sends, remaining).await {
+            RelayResult::Response(head, body) => {
+                record_limit(host, &head.headers);
+                return Response::forwarded(&head, body, request.is_bodiless());
+            }
+            RelayResult::Refused(reason) => {
+                refusal = reason;
+                break;
+            }
+            RelayResult::Unavailable => helper.suspend(),
+            RelayResult::Lost(error) => {
+                helper.suspend();
+                attempts.sends += 1;
+                let status = if clock::now() >= request.deadline() {
+                    504
+                } else {
+                    502
+                };
+                attempts.maybe_ran = Some((status, format!("host {}: {error}", helper.name)));
+                if !request.plan.route.idempotent {
+                    break;
+                }
+            }
+        }
+    }
+    attempts.final_response(refusal)
+}
+
+fn choose_helper<'a>(
+    host: &'a EntryHost,
+    request: &Request,
+    excluded: &[String],
+) -> Option<HelperGuard<'a>> {
+    let own_domain = &host.settings.domain;
+    host.with_router(|router, _| {
+        host.helpers.choose(excluded, |domain| {
+            if !router.is_home_region(&request.plan.route, domain) {
+                None
+            } else if domain == own_domain {
+                Some(Distance::Domain)
+            } else if router.region_of(domain) == router.region_of(own_domain) {
+                Some(Distance::Region)
+            } else {
+                Some(Distance::Remote)
+            }
+        })
+    })
+}
+
+async fn send(
+    host: &EntryHost,
+    request: &Request,
+    helper: &HelperGuard<'_>,
+    sends: usize,
+    remaining: Duration,
+) -> RelayResult {
+    let key = PoolKey::of_host(&helper.name, helper.address);
+    let mut connection = match host.pool.take(key.clone()) {
+        Some(connection) => connection,
+        None => match Connection::open(helper.address, CONNECT_TIMEOUT.min(remaining)).await {
+            Ok(connection) => connection,
+            Err(_) => return RelayResult::Unavailable,
+        },
+    };
+    let bytes = request.to_bytes(remaining, SENDS, &sends.to_string());
+    let exchange = exchange(host, &mut connection, request, &bytes);
+    let (head, body, is_clean) = match within(remaining + RESPONSE_MARGIN, exchange).await {
+        Ok(response) => response,
+        Err(error) => return RelayResult::Lost(error),
+    };
+    if is_clean && head.keep_alive && !connection.has_buffered_data() {
+        host.pool.keep(key, connection, IDLE_TIMEOUT);
+    }
+    match head.headers.get(REFUSAL) {
+        Some(cause) => read_refusal(cause, &head.headers),
+        None => RelayResult::Response(head, body),
+    }
+}
+
+async fn exchange(
+    host: &EntryHost,
+    connection: &mut Connection,
+    request: &Request,
+    bytes: &[u8],
+) -> crate::http::Result<(ResponseHead, Bytes, bool)> {
+    let (head, is_clean) = connection.exchange(bytes, request.is_bodiless()).await?;
+    let account = host.response_buffers.open_account();
+    let body = connection
+        .read_accounted_body(head.framing, RESPONSE_BODY_LIMIT, account)
+        .await?;
+    let id = head.headers.get(platform::REQUEST_ID).unwrap_or_default();
+    if id != request.id {
+        return Err(HttpError::Malformed("response to another request"));
+    }
+    Ok((head, body, is_clean))
+}
+
+/// The other host's refusal; causes that lie with that host are no answer.
+fn read_refusal(cause: &str, headers: &Headers) -> RelayResult {
+    let own_causes = [
+        RefusalCause::Leaving,
+        RefusalCause::NoReach,
+        RefusalCause::NoConfig,
+        RefusalCause::NoRoute,
+    ];
+    if own_causes.iter().any(|own| format!("{own:?}") == cause) {
+        return RelayResult::Unavailable;
+    }
+    let seconds = headers
+        .get("retry-after")
+        .and_then(|text| text.parse::<f64>().ok());
+    let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    RelayResult::Refused(RouteRefusal {
+        cause: RefusalCause::Busy,
+        retry_after,
+    })
+}
+
+/// Takes in the limit of the server that made a response: once this host reaches it again, it has to
+/// keep to it.
+fn record_limit(host: &EntryHost, headers: &Headers) {
+    let limit = headers
+        .get(platform::SERVER_LIMIT)
+        .and_then(platform::read_limit);
+    let Some((server, limit)) = headers.get(SERVER).zip(limit) else {
+        return;
+    };
+    host.with_router(|router, _| {
+        let server = router.servers().find(server);
+        let entry = server.and_then(|key| router.servers().get(key).map(|state| &state.entry));
+        let report = entry.map(|entry| RateLimitReport {
+            server: entry.id.clone(),
+            start_id: entry.start_id,
+            limit: Some(limit),
+        });
+        if let Some(report) = report {
+            router.apply_rate_limit(&report);
+        }
+    });
+}
--- a/crates/front/src/proxy/send.rs
+++ b/crates/front/src/proxy/send.rs
@@ -61,6 +61,7 @@
                 return SendResult::Unreachable;
             };
             host.counters.connections_opened.add();
+            host.with_router(|router, now| router.record_connection(now));
             let round_trip = clock::now().since(started) + ACCEPT_MARGIN;
             if target.probes_connection
                 && !connection.stays_open(round_trip.min(MAX_PROBE_TIME)).await
@@ -77,7 +78,7 @@
     if remaining < MIN_ATTEMPT_TIME {
         return SendResult::Pointless(RefusalCause::Deadline);
     }
-    let bytes = request.to_bytes(target, remaining);
+    let bytes = request.to_bytes(remaining, platform::TARGET_INSTANCE, &entry.id);
     let result = within(
         remaining + RESPONSE_MARGIN,
         receive(host, &mut connection, request, &bytes),
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -1,5 +1,6 @@
 //! Responses to callers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthshunt_core::front::{RefusalCause, RouteRefusal};
@@ -7,9 +8,10 @@
 use bytes::Bytes;
 
 use crate::http::ResponseHead;
+use crate::proxy::{REFUSAL, SERVER};
 
 /// Headers of a server's response that are not forwarded to callers.
-const HOST_ONLY_HEADERS: [&str; 1] = [platform::UPSTREAM_LOAD];
+const HOST_ONLY_HEADERS: [&str; 3] = [platform::UPSTREAM_LOAD, REFUSAL, SERVER];
 
 /// A response, ready to be written to a caller.
 #[derive(Clone, Debug)]
@@ -20,6 +22,10 @@
     pub(crate) log_detail: String,
     head: Vec<u8>,
     body: Bytes,
+    /// Why the host refused the request, if it did.
+    refusal: Option<RefusalCause>,
+    /// The server that made the response, if one did.
+    server: Option<Arc<str>>,
 }
 
 impl Response {
@@ -38,9 +44,34 @@
             log_detail: "forwarded".to_owned(),
             head: bytes,
             body,
+            refusal: None,
+            server: None,
         }
     }
 
+    /// Names the server that made the response.
+    #[must_use]
+    pub(crate) fn made_by(self, server: Arc<str>) -> Self {
+        Self {
+            server: Some(server),
+            ..self
+        }
+    }
+
+    /// Adds what only another host needs to know about the response.
+    #[must_use]
+    pub(crate) fn for_host(mut self) -> Self {
+        if let Some(cause) = self.refusal {
+            let header = format!("{REFUSAL}: {cause:?}\r\n");
+            self.head.extend_from_slice(header.as_bytes());
+        }
+        if let Some(server) = &self.server {
+            let header = format!("{SERVER}: {server}\r\n");
+            self.head.extend_from_slice(header.as_bytes());
+        }
+        self
+    }
+
     /// Refuses a request that has not run, with the time after which the caller may retry.
     pub(crate) fn refused(refusal: RouteRefusal) -> Self {
         let status = if refusal.cause == RefusalCause::NoRoute {
@@ -48,11 +79,11 @@
         } else {
             503
         };
-        Self::generated(
-            status,
-            refusal.retry_after,
-            &format!("refused: {:?}", refusal.cause),
-        )
+        let detail = format!("refused: {:?}", refusal.cause);
+        Self {
+            refusal: Some(refusal.cause),
+            ..Self::generated(status, refusal.retry_after, &detail)
+        }
     }
 
     /// Creates a response of the host itself, without a body.
@@ -76,6 +107,8 @@
             log_detail: log_detail.to_owned(),
             head: head.into_bytes(),
             body: Bytes::new(),
+            refusal: None,
+            server: None,
         }
     }
 
