A response without a request's identifier answers no request (REFUSED)

Possible here: a refusal without Request-Id was taken for that of the present request, so that callers were told 'not run' of one that ran, or it was sent to a second server. With the identifier of the earlier request it was skipped already. Now a response must carry the request's identifier; others on the connection are skipped, and the connection is not used again. A second attempt at the same server has the same identifier, but none follows a refusal there: the server counts as full. Evidence: two of three cases of the first test fail before (503 for a request that ran), all nine tests pass after.

--- a/crates/front/src/proxy/send.rs
+++ b/crates/front/src/proxy/send.rs
@@ -135,8 +135,10 @@
         let body = connection
             .read_accounted_body(head.framing, limit, account)
             .await?;
-        let id = head.headers.get(platform::REQUEST_ID);
-        if id.is_none_or(|id| id == request.id) {
+        // A response without an identifier may belong to an earlier request on the connection, so
+        // that it says nothing about this one.
+        let id = head.headers.get(platform::REQUEST_ID).unwrap_or_default();
+        if id == request.id {
             return Ok(ReceivedResponse {
                 head,
                 body,
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod config_delay;
 mod endless;
+mod faulty_responses;
 mod restored_store;
 mod server_limit;
 mod site;
