A stopping host takes no unsafe request that could outlast it (LOST)

Possible here in part: for 2.7 s after the signal every request was taken, whatever time its route and caller gave it, and answered 504 shortly before the end while its server was still at work. Now one that may not be repeated is refused at once unless its own time ends before that moment; one that may be repeated gets less time. Evidence: the test fails before (504 after 2.7 s; the server had the request) and passes after (503 at once, never sent); the other tests of stops pass as before.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use amaranthshunt_core::front::{Limits, RefusalCause, RouteRefusal};
+use amaranthshunt_core::front::{Limits, RefusalCause, RoutePlan, RouteRefusal};
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform as platform;
 use async_std::net::TcpListener;
@@ -174,11 +174,12 @@
             sends: header_number(SENDS).unwrap_or_default() as usize,
         },
     };
+    let leaving = RouteRefusal {
+        cause: RefusalCause::Leaving,
+        retry_after: Some(SHUTDOWN_RETRY_AFTER),
+    };
     let plan_result = if host.refuses_requests() {
-        Err(RouteRefusal {
-            cause: RefusalCause::Leaving,
-            retry_after: Some(SHUTDOWN_RETRY_AFTER),
-        })
+        Err(leaving)
     } else {
         host.with_router(|router, now| match sender {
             Sender::Caller => router.plan(now, &authority, &head.target),
@@ -198,7 +199,12 @@
             };
             Some(refuse_request(host, &id, refusal))
         }
+        Ok(plan) if must_refuse_to_leave(host, &plan, caller_timeout) => {
+            Some(refuse_request(host, &id, leaving))
+        }
         Ok(plan) => {
+            let time_to_answer = host.time_to_answer();
+            let caller_timeout = caller_timeout.into_iter().chain(time_to_answer).min();
             let request = Request {
                 head,
                 body,
@@ -229,6 +235,20 @@
     keep_alive && matches!(written, Ok(Ok(())))
 }
 
+/// Whether a request must be refused because the host is shutting down: it could still be running
+/// when all requests have to be answered, and its outcome would then stay unknown. One that may be
+/// repeated is only given less time.
+fn must_refuse_to_leave(
+    host: &EntryHost,
+    plan: &RoutePlan,
+    caller_timeout: Option<Duration>,
+) -> bool {
+    let timeout = plan.route.timeout;
+    let own_time = caller_timeout.map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
+    let left = host.time_to_answer();
+    !plan.route.idempotent && left.is_some_and(|left| left < own_time)
+}
+
 fn refuse_request(host: &EntryHost, id: &str, refusal: RouteRefusal) -> Response {
     let response = Response::refused(refusal);
     let version = host.config_version();
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -207,17 +207,27 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Time since the graceful shutdown began, if it has.
+    fn shutdown_age(&self) -> Option<Duration> {
+        let since = Time::from_micros(self.leaving_since.load(Ordering::Relaxed));
+        self.is_leaving().then(|| clock::now().since(since))
+    }
+
     /// Whether the shutdown has progressed so far that a new request might not complete before it.
     pub(crate) fn refuses_requests(&self) -> bool {
-        let since = Time::from_micros(self.leaving_since.load(Ordering::Relaxed));
-        self.is_leaving() && clock::now().since(since) >= FORWARDING_PERIOD
+        self.shutdown_age()
+            .is_some_and(|age| age >= FORWARDING_PERIOD)
+    }
+
+    /// Time until all requests in flight have to be answered, if a shutdown has begun.
+    pub(crate) fn time_to_answer(&self) -> Option<Duration> {
+        let cutoff = self.settings.grace.saturating_sub(FINAL_RESPONSE_MARGIN);
+        self.shutdown_age().map(|age| cutoff.saturating_sub(age))
     }
 
     /// Whether the process is about to exit, so that all requests in flight have to be answered.
     pub(crate) fn is_terminating(&self) -> bool {
-        let since = Time::from_micros(self.leaving_since.load(Ordering::Relaxed));
-        let cutoff = self.settings.grace.saturating_sub(FINAL_RESPONSE_MARGIN);
-        self.is_leaving() && clock::now().since(since) >= cutoff
+        self.time_to_answer().is_some_and(|left| left.is_zero())
     }
 
     /// How current the view of a kind is.
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -194,6 +194,31 @@
     });
 }
 
+// Guards against LOST: a request that could still be running at the end of the grace period was taken
+// after the stop signal and broken off, though it may not be repeated.
+#[test]
+fn request_with_more_time_than_a_stopping_host_has_is_refused_at_once() {
+    task::block_on(async {
+        let site = start_site("stop-late").await;
+        let mut slow_route = config(9, "/pay/");
+        slow_route["Routes"]["pay"]["TimeoutMs"] = json!(20_000);
+        site.store.put("config", "main", slow_route, Value::Null);
+        task::sleep(Duration::from_millis(1_500)).await;
+        site.servers[1].set_fault(UpstreamFault::Slow(4_000));
+
+        signal(&site, Signal::TERM);
+        task::sleep(Duration::from_millis(2_400)).await;
+        let started = Instant::now();
+        let paid = ask(&site, Method::Post, "/pay/x", "t1").await;
+        let elapsed = started.elapsed();
+        let read = ask(&site, Method::Get, "/read/x", "t2").await;
+
+        assert_eq!([status(&paid), status(&read)], [503, 200]);
+        assert!(elapsed < Duration::from_millis(500), "{elapsed:?}");
+        assert_eq!(run_count(&site, "t1"), 0);
+    });
+}
+
 #[test]
 fn request_to_a_silent_server_is_answered_before_the_host_exits() {
     task::block_on(async {
