--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -103,7 +103,7 @@
             task::sleep(STORE_RETRY_DELAY).await;
             continue;
         }
-        let may_lead = candidate.needs_no_answers(&host, &record, follow_end)
+        let may_lead = candidate.knows_leader_is_gone(&host, &record, follow_end)
             || !others_hear_leader(&hosts).await;
         if !may_lead {
             task::sleep(STORE_RETRY_DELAY).await;
@@ -145,11 +145,11 @@
         self.last_leader = current;
     }
 
-    /// Whether the host may become a candidate without asking the others whether they hear the
-    /// leader.
+    /// Whether there is certainly no leader to follow, so that the host may become a candidate
+    /// without asking the others whether they hear one.
     ///
-    /// If the store may have lost the name of the leader, only the others know whether there is one.
-    fn needs_no_answers(
+    /// If the store may have lost the name of the leader, only the others know.
+    fn knows_leader_is_gone(
         &self,
         host: &EntryHost,
         record: &StoredRecord,
@@ -269,6 +269,7 @@
         granter: Mutex::new(Granter::new(started, &record, revision.era(), timing)),
         followers: Mutex::default(),
         orders: OrderClient::default(),
+        helper_list: Mutex::default(),
         members: Mutex::new(members),
         record_revision: async_std::sync::Mutex::new(revision),
         era_record: Mutex::default(),
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -4,6 +4,7 @@
 use amaranthshunt_core::front::StoreRevision;
 
 use super::LeaderState;
+use super::leader_state::HelperList;
 use crate::entry_host::EntryHost;
 use crate::lock::lock;
 use crate::messages::{
@@ -65,19 +66,10 @@
     };
     let own = lock(&leader.demand).tell(&host.settings.name);
     host.with_router(|router, now| router.update_demand_shares(now, own));
-    let region_of = |domain: &str| host.with_router(|router, _| router.region_of(domain).cloned());
-    let mut helpers = leader.helpers();
-    host.helpers.update(&helpers);
-    if host.reaches_servers() {
-        helpers.push(HelperMessage {
-            name: host.settings.name.clone(),
-            address: host.settings.peers_address().to_string(),
-            domain: host.settings.domain.clone(),
-        });
-    }
+    let list = update_helpers(host, leader);
     leader.send_each(|name, follower| {
         let shares = lock(&leader.demand).tell(name);
-        let helpers = follower.helpers_to_tell(name, &helpers, region_of);
+        let helpers = follower.helpers_to_tell(name, &list);
         let messages = shares.iter();
         let messages = messages.map(|(service, share)| DemandShareMessage::new(service, *share));
         Body::Heartbeat(Heartbeat {
@@ -88,6 +80,22 @@
     });
 }
 
+/// The hosts that serve requests of those that reach no server, this one included if it can.
+fn update_helpers(host: &EntryHost, leader: &LeaderState) -> HelperList {
+    let mut helpers = leader.helpers();
+    host.helpers.update(&helpers);
+    if host.reaches_servers() {
+        helpers.push(HelperMessage {
+            name: host.settings.name.clone(),
+            address: host.settings.peers_address().to_string(),
+            domain: host.settings.domain.clone(),
+        });
+    }
+    let mut list = lock(&leader.helper_list);
+    list.update(helpers, &host.settings.regions);
+    list.clone()
+}
+
 /// Takes the request counts by key since the last call, in the form in which they are sent to the
 /// leader.
 pub(crate) fn take_key_counts(host: &EntryHost) -> Vec<KeyCounts> {
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -28,6 +28,8 @@
     pub(super) granter: Mutex<Granter>,
     pub(super) followers: Mutex<BTreeMap<String, Follower>>,
     pub(super) orders: OrderClient,
+    /// Hosts that serve requests for those that reach no server.
+    pub(super) helper_list: Mutex<HelperList>,
     /// Every host that has ever registered or followed.
     pub(super) members: Mutex<BTreeSet<String>>,
     /// Revision of the placement record in the store; locked while the record is being written.
@@ -52,41 +54,59 @@
     helper: HelperMessage,
     /// Whether it reaches no server.
     lacks_servers: bool,
-    /// The hosts that it was told last as those that can help it.
-    told_helpers: Vec<HelperMessage>,
+    /// Generation of the list of helpers that it was told last.
+    told_helpers: u64,
     /// The time in the last heartbeat to which the follower replied.
     pub(super) last_echo: Time,
 }
 
 impl Follower {
-    /// The hosts that can help the follower, if they are other ones than it was told last: those of
-    /// its failure domain first, then of its region.
-    pub(super) fn helpers_to_tell(
-        &mut self,
-        name: &str,
-        helpers: &[HelperMessage],
-        region_of: impl Fn(&str) -> Option<String>,
-    ) -> Vec<HelperMessage> {
-        let own_region = region_of(&self.helper.domain);
-        let others = helpers.iter().filter(|helper| helper.name != name);
-        let mut nearest: Vec<&HelperMessage> = others.collect();
-        nearest.sort_by_cached_key(|helper| {
-            let is_domain = helper.domain == self.helper.domain;
-            let is_region = region_of(&helper.domain) == own_region;
+    /// The hosts that can help the follower, unless it was told them already: half of them the
+    /// nearest ones, the others in other regions if there are any.
+    pub(super) fn helpers_to_tell(&mut self, name: &str, all: &HelperList) -> Vec<HelperMessage> {
+        if self.told_helpers == all.generation {
+            return Vec::new();
+        }
+        self.told_helpers = all.generation;
+        let own_domain = self.helper.domain.as_str();
+        let own_region = all.regions.get(own_domain);
+        let is_remote =
+            |helper: &HelperMessage| all.regions.get(helper.domain.as_str()) != own_region;
+        let mut others: Vec<&HelperMessage> = all
+            .hosts
+            .iter()
+            .filter(|helper| helper.name != name)
+            .collect();
+        others.sort_by_cached_key(|helper| {
             let spread = xxh3_64_with_seed(helper.name.as_bytes(), xxh3_64(name.as_bytes()));
-            (!is_domain, !is_region, spread)
+            (is_remote(helper), helper.domain != own_domain, spread)
         });
-        // Those nearest, and others in case that the whole region is cut.
-        let (near, far) = nearest.split_at(nearest.len().min(MAX_HELPERS / 2));
-        let mut far: Vec<&HelperMessage> = far.to_vec();
-        far.sort_by_cached_key(|helper| region_of(&helper.domain) == own_region);
-        let chosen = near.iter().copied().chain(far).take(MAX_HELPERS).cloned();
-        let chosen: Vec<HelperMessage> = chosen.collect();
-        if chosen == self.told_helpers {
-            return Vec::new();
+        let far = others.split_off(others.len().min(MAX_HELPERS / 2));
+        let (remote, near): (Vec<_>, Vec<_>) =
+            far.into_iter().partition(|helper| is_remote(helper));
+        let chosen = others.into_iter().chain(remote).chain(near);
+        chosen.take(MAX_HELPERS).cloned().collect()
+    }
+}
+
+/// The hosts that reach servers, as the followers are told them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HelperList {
+    hosts: Vec<HelperMessage>,
+    /// The region of each failure domain.
+    regions: BTreeMap<String, String>,
+    /// Increases with each change.
+    generation: u64,
+}
+
+impl HelperList {
+    /// Replaces the hosts, if they are other ones.
+    pub(super) fn update(&mut self, hosts: Vec<HelperMessage>, regions: &BTreeMap<String, String>) {
+        if self.hosts != hosts {
+            self.hosts = hosts;
+            self.regions.clone_from(regions);
+            self.generation += 1;
         }
-        self.told_helpers.clone_from(&chosen);
-        chosen
     }
 }
 
@@ -110,7 +130,7 @@
                 domain: hello.domain.clone(),
             },
             lacks_servers: hello.lacks_servers,
-            told_helpers: Vec::new(),
+            told_helpers: 0,
             last_echo: Time::ZERO,
         };
         followers.insert(name.to_owned(), follower);
