A dropped history of the store is no new era; a relayed request asks for its caller (DRAIN, GONE)

Found on reading the change: a 410 reset the known revision to era 0, so that the next list passed for that of a restored store, and servers that had left in the gap would have been kept for up to 1.9 s more, beyond the bound of a drain. The era stays now; a test that fails before guards it. And a request on its way to other hosts is not sent once its caller has left.

--- a/crates/core/src/front/freshness.rs
+++ b/crates/core/src/front/freshness.rs
@@ -74,9 +74,9 @@
     }
 
     /// Records that the store does not have the history since the known revision, so that everything
-    /// has to be read again.
+    /// has to be read again. The era stays the same.
     pub fn record_history_lost(&mut self) {
-        self.complete = StoreRevision::default();
+        self.complete = StoreRevision::new(self.complete.era(), 0);
     }
 
     /// Records that all objects as of a revision were relayed.
--- a/crates/core/tests/front/freshness.rs
+++ b/crates/core/tests/front/freshness.rs
@@ -185,3 +185,16 @@
         [RelayStatus::Gap, RelayStatus::Next, RelayStatus::Next]
     );
 }
+
+// Guards against DRAIN: a dropped history passed for a restored store, and servers that had left in the
+// gap were kept for two seconds more.
+#[test]
+fn a_dropped_history_is_not_a_new_era() {
+    let mut freshness = confirmed_at_start();
+
+    freshness.record_history_lost();
+
+    assert_eq!(freshness.complete_revision().era(), 1);
+    assert!(!freshness.is_outdated(rev(40)), "everything is read again");
+    assert_eq!(freshness.record_relay(rev(90), rev(95)), RelayStatus::Gap);
+}
--- a/crates/front/src/proxy/relay.rs
+++ b/crates/front/src/proxy/relay.rs
@@ -1,5 +1,6 @@
 //! Passes a request on to another host, since this one reaches no server.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use amaranthshunt_core::front::{RateLimitReport, RefusalCause, RouteRefusal};
@@ -57,6 +58,10 @@
             refusal.cause = RefusalCause::Deadline;
             break;
         }
+        if request.caller_left.load(Ordering::Relaxed) {
+            refusal.cause = RefusalCause::CallerLeft;
+            break;
+        }
         let Some(helper) = choose_helper(host, request, &excluded) else {
             break;
         };
