--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod host_delay;
 mod hot_keys;
 mod many_hosts;
+mod members;
 mod rate_limits;
 mod reach;
 mod restored_store;
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -9,7 +9,7 @@
 mod leader_state;
 mod record;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
@@ -17,7 +17,7 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    ClusterState, DemandShares, Granter, GranterTiming, Placement, RatePool, RoutingTable,
+    ClusterState, DemandShares, Granter, GranterTiming, Members, Placement, RatePool, RoutingTable,
     StoreRevision,
 };
 use amaranthshunt_core::log::EventCode;
@@ -263,14 +263,13 @@
     host.log(EventCode::GranterStarted, &name, detail);
     let started = clock::now();
     let is_first_placement = record.services.is_empty();
-    let mut members: BTreeSet<String> = hosts.keys().cloned().collect();
-    members.insert(name.clone());
+    let members = hosts.keys().cloned().chain([name.clone()]);
     let leader = Arc::new(LeaderState {
         granter: Mutex::new(Granter::new(started, &record, revision.era(), timing)),
         followers: Mutex::default(),
         orders: OrderClient::default(),
         helper_list: Mutex::default(),
-        members: Mutex::new(members),
+        members: Mutex::new(Members::new(members)),
         record_revision: async_std::sync::Mutex::new(revision),
         era_record: Mutex::default(),
         rewriting: AtomicBool::new(false),
@@ -285,6 +284,7 @@
     let mut published = RoutingTable::default();
     let mut last_server_count = (0, started);
     let mut members_refreshed = false;
+    task::spawn(refresh_members(host.clone(), leader.clone()));
     let mut era_watch = EraWatch::default();
     while !leader.is_superseded() {
         let now = clock::now();
@@ -338,8 +338,8 @@
     now: Time,
     last_store_check: &mut Time,
 ) {
-    let host_count = lock(&leader.members).len();
-    let echo = leader.majority_echo(host_count);
+    let told = host.with_router(|router, _| router.hosts());
+    let echo = leader.majority_echo(told);
     if let Some(echo) = echo {
         let mut granter = lock(&leader.granter);
         granter.confirm(echo);
@@ -438,7 +438,7 @@
     match list(&host, platform::HOSTS, Consistency::Strong).await {
         Ok((objects, _)) => {
             let names = objects.into_iter().map(|object| object.name);
-            lock(&leader.members).extend(names);
+            lock(&leader.members).add_registered(names);
         }
         Err(error) => log::warn!("cannot read the list of hosts: {error}"),
     }
--- a/crates/front/src/leadership/era.rs
+++ b/crates/front/src/leadership/era.rs
@@ -42,8 +42,8 @@
         if self.era != era {
             *self = Self { era, since: now };
         }
-        let host_count = lock(&leader.members).len();
-        let echo = leader.majority_echo(host_count);
+        let told = host.with_router(|router, _| router.hosts());
+        let echo = leader.majority_echo(told);
         if echo.is_some_and(|echo| echo >= self.since) {
             if !leader.rewriting.swap(true, Ordering::Relaxed) {
                 task::spawn(begin_term(host.clone(), leader.clone(), era));
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -34,7 +34,7 @@
             lacks_servers: false,
         },
     );
-    let member_count = lock(&leader.members).len();
+    let member_count = lock(&leader.members).count();
     let host_count = host.with_router(|router, _| {
         let host_count = if members_complete {
             member_count
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -1,13 +1,13 @@
 //! State of the leader.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    DemandShares, Granter, Placement, RatePool, Router, StoreRevision,
+    DemandShares, Granter, Members, Placement, RatePool, Router, StoreRevision,
 };
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
@@ -31,7 +31,7 @@
     /// Hosts that serve requests for those that reach no server.
     pub(super) helper_list: Mutex<HelperList>,
     /// Every host that has ever registered or followed.
-    pub(super) members: Mutex<BTreeSet<String>>,
+    pub(super) members: Mutex<Members>,
     /// Revision of the placement record in the store; locked while the record is being written.
     pub(super) record_revision: async_std::sync::Mutex<StoreRevision>,
     /// The record that this host last tried to write for a new era of the store.
@@ -116,7 +116,7 @@
         let name = hello.name.as_str();
         let table = TableMessage::from(lock(&self.granter).table());
         enqueue(name, &sender, encode_frame(Body::Table(table)));
-        lock(&self.members).insert(name.to_owned());
+        lock(&self.members).add(name);
         let mut followers = lock(&self.followers);
         let connection_number = followers
             .get(name)
@@ -229,8 +229,10 @@
     }
 
     /// The latest time at which more than half of the hosts, this one included, knew of no other
-    /// leader; `None` if too few follow.
-    pub(super) fn majority_echo(&self, host_count: usize) -> Option<Time> {
+    /// leader; `None` if too few follow. `told` is the number of hosts that the leader before has
+    /// told.
+    pub(super) fn majority_echo(&self, told: usize) -> Option<Time> {
+        let host_count = lock(&self.members).majority_base(told);
         let followers = lock(&self.followers);
         let mut echoes: Vec<Time> = followers
             .values()
