Fake servers say that they leave, turn requests away for a time, and record arrivals

Neither the fake server nor the tests could show what a server says of itself besides its limit. Each arrival is recorded with its answer, so that checks can be made from the server's side. What servers record moves to a file of its own.

No program is changed.

--- a/crates/host/tests/platform/site.rs
+++ b/crates/host/tests/platform/site.rs
@@ -45,6 +45,20 @@
     }
 }
 
+impl Site {
+    /// Adds a backend server.
+    pub(crate) async fn add_server(&mut self, service: &str, id: &str) {
+        let server = start_server(&self.store, &self.recorder, service, id).await;
+        self.servers.push(server);
+    }
+
+    /// The server with an identifier.
+    pub(crate) fn server(&self, id: &str) -> &FakeUpstream {
+        let mut servers = self.servers.iter();
+        servers.find(|server| server.options().id == id).unwrap()
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
@@ -126,23 +140,9 @@
     let recorder = ServerRecorder::default();
     store.put("config", "main", config(1, "/pay/"), Value::Null);
     let mut servers = Vec::new();
-    for (service, keyed) in [("catalogue", true), ("orders", false)] {
-        let listen = free_address();
-        let options = UpstreamOptions {
-            id: format!("{service}-0"),
-            service: service.to_owned(),
-            domain: "east-a".to_owned(),
-            holds_keys: keyed,
-            slots: 4,
-            service_time: Duration::from_millis(30),
-            listen,
-            address: listen,
-        };
-        servers.push(
-            FakeUpstream::start(options, store.clone(), recorder.clone())
-                .await
-                .unwrap(),
-        );
+    for service in ["catalogue", "orders"] {
+        let id = format!("{service}-0");
+        servers.push(start_server(&store, &recorder, service, &id).await);
     }
     // An invalid server object, which the host must ignore.
     store.put(
@@ -164,6 +164,29 @@
     }
 }
 
+/// Starts a backend server; those of the service `catalogue` hold keys.
+pub(crate) async fn start_server(
+    store: &FakeObjectStore,
+    recorder: &ServerRecorder,
+    service: &str,
+    id: &str,
+) -> FakeUpstream {
+    let listen = free_address();
+    let options = UpstreamOptions {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        domain: "east-a".to_owned(),
+        holds_keys: service == "catalogue",
+        slots: 4,
+        service_time: Duration::from_millis(30),
+        listen,
+        address: listen,
+    };
+    FakeUpstream::start(options, store.clone(), recorder.clone())
+        .await
+        .unwrap()
+}
+
 pub(crate) async fn wait_until(condition: &str, is_met: impl AsyncFn() -> bool) {
     let end = Instant::now() + Duration::from_secs(20);
     while !is_met().await {
--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -8,7 +8,9 @@
 use serde_json::{Value, json};
 use tide::{Request, Response};
 
+use super::arrivals::Answer;
 use super::objects::FakeObjectStore;
+use super::recorder::{Execution, HeldKeys, ServerRecorder};
 use crate::lock::lock;
 use crate::serve::{Tasks, serve};
 
@@ -55,160 +57,6 @@
     pub address: SocketAddr,
 }
 
-/// One execution of a request.
-#[derive(Clone, Debug)]
-pub struct Execution {
-    /// The request ID.
-    pub request: String,
-    /// The server and its incarnation, as `id/number`.
-    pub server: String,
-    /// When the execution started.
-    pub began: Instant,
-}
-
-/// A key range that a server holds until it is released or expires.
-#[derive(Clone, Debug)]
-pub struct HeldKeys {
-    /// The service that the keys belong to.
-    pub service: String,
-    /// The server and its incarnation, as `id/number`.
-    pub server: String,
-    /// The first key of the range.
-    pub from: u16,
-    /// The last key of the range, inclusive.
-    pub to: u16,
-    /// When the grant arrived.
-    pub since: Instant,
-    /// When the lease expires.
-    pub until: Instant,
-    fence: u64,
-}
-
-/// Record shared by all fake servers: executions, held keys and violations.
-#[derive(Clone, Debug, Default)]
-pub struct ServerRecorder {
-    executions: Arc<Mutex<Vec<Execution>>>,
-    held: Arc<Mutex<Vec<HeldKeys>>>,
-    /// All grants that servers have accepted: a server rejects lower tokens also after a release.
-    accepted: Arc<Mutex<Vec<HeldKeys>>>,
-    violations: Arc<Mutex<Vec<Violation>>>,
-}
-
-/// A grant of keys that another server still held.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Violation {
-    /// When the grant took effect.
-    pub at: Instant,
-    /// The servers, key ranges and fence tokens.
-    pub text: String,
-}
-
-impl ServerRecorder {
-    /// All executions so far.
-    pub fn executions(&self) -> Vec<Execution> {
-        lock(&self.executions).clone()
-    }
-
-    /// The grants of keys that another server still held.
-    pub fn violations(&self) -> Vec<Violation> {
-        lock(&self.violations).clone()
-    }
-
-    fn grant(&self, new: HeldKeys) -> bool {
-        let mut held = lock(&self.held);
-        let now = Instant::now();
-        held.retain(|other| other.until > now);
-        let overlaps = |other: &HeldKeys| {
-            other.service == new.service && other.from <= new.to && new.from <= other.to
-        };
-        let mut accepted = lock(&self.accepted);
-        if accepted
-            .iter()
-            .any(|other| overlaps(other) && other.server == new.server && other.fence > new.fence)
-        {
-            return false;
-        }
-        accepted.retain(|other| {
-            let is_covered = new.from <= other.from && other.to <= new.to;
-            other.server != new.server || other.service != new.service || !is_covered
-        });
-        accepted.push(new.clone());
-        for other in held
-            .iter()
-            .filter(|other| overlaps(other) && other.server != new.server)
-        {
-            let text = format!(
-                "{} is granted {}-{} with fence {} while {} holds {}-{} with fence {} for {:?} more",
-                new.server,
-                new.from,
-                new.to,
-                new.fence,
-                other.server,
-                other.from,
-                other.to,
-                other.fence,
-                other.until - now
-            );
-            lock(&self.violations).push(Violation { at: now, text });
-        }
-        remove_range(
-            &mut held,
-            &new.service,
-            &new.server,
-            new.from,
-            new.to,
-            new.fence,
-        );
-        held.push(new);
-        true
-    }
-
-    fn release(&self, service: &str, server: &str, from: u16, to: u16, fence: u64) {
-        remove_range(&mut lock(&self.held), service, server, from, to, fence);
-    }
-
-    fn holds(&self, service: &str, server: &str, key: u16) -> bool {
-        let now = Instant::now();
-        let held = lock(&self.held);
-        held.iter().any(|other| {
-            other.service == service
-                && other.server == server
-                && other.from <= key
-                && key <= other.to
-                && other.until > now
-        })
-    }
-}
-
-fn remove_range(
-    held: &mut Vec<HeldKeys>,
-    service: &str,
-    server: &str,
-    from: u16,
-    to: u16,
-    fence: u64,
-) {
-    for other in std::mem::take(held) {
-        let unaffected = other.service != service || other.server != server || other.fence > fence;
-        if unaffected || other.to < from || to < other.from {
-            held.push(other);
-            continue;
-        }
-        if other.from < from {
-            held.push(HeldKeys {
-                to: from - 1,
-                ..other.clone()
-            });
-        }
-        if to < other.to {
-            held.push(HeldKeys {
-                from: to + 1,
-                ..other
-            });
-        }
-    }
-}
-
 #[derive(Debug)]
 struct State {
     incarnation: u64,
@@ -218,6 +66,10 @@
     sequence: u64,
     /// Value of the `Server-Limit` header, if responses have one.
     limit: Option<String>,
+    /// Value of the `Server-Leaving` header, if responses have one.
+    leaving: Option<String>,
+    /// Value of the `Retry-After` header of the 503 that each request gets, if they are turned away.
+    retry_after: Option<String>,
 }
 
 /// A fake server that runs in this process.
@@ -248,6 +100,8 @@
             draining: false,
             sequence: 0,
             limit: None,
+            leaving: None,
+            retry_after: None,
         };
         let upstream = Self {
             options,
@@ -288,6 +142,16 @@
         lock(&self.state).limit = limit.map(str::to_owned);
     }
 
+    /// Sets the text in which responses say that the server leaves; `None` if they say nothing.
+    pub fn set_leaving(&self, leaving: Option<&str>) {
+        lock(&self.state).leaving = leaving.map(str::to_owned);
+    }
+
+    /// Sets the `Retry-After` with which all requests are turned away; `None` if they are served.
+    pub fn set_retry_after(&self, retry_after: Option<&str>) {
+        lock(&self.state).retry_after = retry_after.map(str::to_owned);
+    }
+
     /// Sets whether the server reports that it is draining.
     pub fn set_draining(&self, draining: bool) {
         lock(&self.state).draining = draining;
@@ -297,12 +161,14 @@
     /// Aborts the server, as a crash would, and removes it from the store.
     pub fn crash(&self) {
         lock(&self.tasks).abort();
-        lock(&self.recorder.held).retain(|held| held.server != self.incarnation_id());
+        self.recorder.end_leases(&self.incarnation_id());
         let mut state = lock(&self.state);
         state.incarnation += 1;
         state.running = 0;
         state.draining = false;
         state.limit = None;
+        state.leaving = None;
+        state.retry_after = None;
         state.fault = UpstreamFault::None;
         drop(state);
         self.store.remove("servers", &self.options.id);
@@ -353,9 +219,35 @@
         .map(|values| values.last().as_str().to_owned())
 }
 
-async fn run(mut request: Request<FakeUpstream>) -> tide::Result {
+async fn run(request: Request<FakeUpstream>) -> tide::Result {
     let upstream = request.state().clone();
     let id = header(&request, "Request-Id").unwrap_or_default();
+    let arrivals = &upstream.recorder.arrivals;
+    let number = arrivals.record(&id, upstream.incarnation_id());
+    let mut response = execute(request, &upstream, &id).await?;
+    let leaving = lock(&upstream.state).leaving.clone();
+    if let Some(text) = &leaving {
+        response.insert_header("Server-Leaving", text.as_str());
+    }
+    let retry_after = response.header("Retry-After");
+    let seconds = retry_after.and_then(|values| values.last().as_str().parse().ok());
+    arrivals.record_answer(
+        number,
+        Answer {
+            at: Instant::now(),
+            status: response.status().into(),
+            says_leaving: leaving.as_deref() == Some("1"),
+            pause: seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()),
+        },
+    );
+    Ok(response)
+}
+
+async fn execute(
+    mut request: Request<FakeUpstream>,
+    upstream: &FakeUpstream,
+    id: &str,
+) -> tide::Result {
     let body = request.body_bytes().await?;
     let target = header(&request, "Target-Instance");
     let key = header(&request, "Shard-Key").and_then(|text| text.parse().ok());
@@ -367,7 +259,12 @@
                 .holds(&options.service, &upstream.incarnation_id(), key)
         });
     if target.is_some_and(|target| target != options.id) || !holds {
-        return Ok(rejection(421, &id));
+        return Ok(rejection(421, id));
+    }
+    if let Some(retry_after) = &lock(&upstream.state).retry_after {
+        let mut response = rejection(503, id);
+        response.insert_header("Retry-After", retry_after.as_str());
+        return Ok(response);
     }
     let (fault, running) = {
         let mut state = lock(&upstream.state);
@@ -379,13 +276,13 @@
         while lock(&upstream.state).fault == UpstreamFault::Hangs {
             task::sleep(HANG_POLL_INTERVAL).await;
         }
-        return Ok(rejection(503, &id));
+        return Ok(rejection(503, id));
     }
     if running > options.slots * 4 {
-        return Ok(rejection(503, &id));
+        return Ok(rejection(503, id));
     }
-    lock(&upstream.recorder.executions).push(Execution {
-        request: id.clone(),
+    upstream.recorder.record_execution(Execution {
+        request: id.to_owned(),
         server: upstream.incarnation_id(),
         began: Instant::now(),
     });
@@ -396,7 +293,7 @@
     };
     task::sleep(options.service_time + extra).await;
     let mut response = Response::new(200);
-    response.insert_header("Request-Id", id.as_str());
+    response.insert_header("Request-Id", id);
     let load = format!(
         "{},0,{}",
         lock(&upstream.state).running.min(options.slots),
