--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -20,6 +20,7 @@
 mod rate_share;
 mod retry_budget;
 mod router;
+mod server_signals;
 mod servers;
 mod settings;
 mod store_revision;
@@ -44,6 +45,7 @@
     AttemptOutcome, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router, RouterSettings,
     Target,
 };
+pub use server_signals::{Departure, LimitSignal, ServerSignals};
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
 pub use settings::FrontSettings;
 pub use store_revision::StoreRevision;
--- a/crates/core/src/front/granter/order.rs
+++ b/crates/core/src/front/granter/order.rs
@@ -69,7 +69,9 @@
     pub(super) fn is_usable(&self, service: &str, id: &str) -> bool {
         self.find(id).is_some_and(|state| {
             let entry = &state.entry;
-            &*entry.service == service && !entry.draining && !self.evacuated.contains(&entry.domain)
+            &*entry.service == service
+                && !state.is_leaving()
+                && !self.evacuated.contains(&entry.domain)
         })
     }
 
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -4,6 +4,7 @@
 mod reach;
 mod selection;
 mod settling;
+mod signals;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,7 +18,7 @@
 use super::load::LoadReport;
 use super::placement::{RoutingSpan, RoutingTable};
 use super::retry_budget::RetryBudgetShare;
-use super::servers::{ServerChanges, ServerEntry, Servers};
+use super::servers::{ServerChanges, ServerEntry, ServerState, Servers};
 use super::weighted_split::WeightedSplitter;
 use crate::ids::ServerKey;
 use crate::log::{EventCode, LogRecord};
@@ -243,13 +244,13 @@
             .map(|service| service.warm_up)
             .filter(|_| self.initialized);
         let (id, draining) = (entry.id.clone(), entry.draining);
-        let previous = self.servers.find(&id).and_then(|key| self.servers.get(key));
-        let was_draining = previous.is_some_and(|state| state.entry.draining);
+        let previous = self.servers.life(&id, entry.start_id);
+        let was_leaving = previous.is_some_and(ServerState::is_leaving);
         let tie_break = tie_break(&self.settings.name, &id);
         if self.servers.upsert(now, entry, warm_up, tie_break) && self.initialized {
             self.log_event(EventCode::ServerBack, &*id, "");
         }
-        if draining && !was_draining {
+        if draining && !was_leaving {
             self.log_event(EventCode::ServerDraining, &*id, "");
         }
     }
@@ -279,7 +280,7 @@
         };
         let (id, start_id) = (state.entry.id.clone(), state.entry.start_id);
         self.settling.record_departure(now, &id, start_id);
-        self.servers.remove(key);
+        self.servers.remove(now, key);
         self.log_event(EventCode::ServerGone, &*id, reason);
     }
 
@@ -348,6 +349,7 @@
                 self.drop_server(now, key, reason);
             }
         }
+        self.servers.forget_retired(now);
         self.end_settling(now);
     }
 
@@ -370,12 +372,10 @@
         let services = self.config.as_ref().map(|config| &config.services);
         let service = services.and_then(|services| services.get(&target.entry.service));
         let keyed = service.is_some_and(|service| service.keyed);
-        let Some(state) = self.servers.get_mut(target.server) else {
+        let entry = &target.entry;
+        let Some(state) = self.servers.life_mut(&entry.id, entry.start_id) else {
             return;
         };
-        if state.entry.start_id != target.entry.start_id {
-            return;
-        }
         state.load.request_ended(target.sent);
         if let Some(report) = report {
             let weight = if has_many_hosts {
--- a/crates/core/src/front/router/limits.rs
+++ b/crates/core/src/front/router/limits.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use super::Router;
-use super::types::{RoutePlan, Target};
+use super::types::RoutePlan;
 use crate::front::rate_limit::RateLimit;
 use crate::front::rate_share::RateBound;
-use crate::front::servers::ServerState;
+use crate::front::servers::{ServerEntry, ServerState};
 use crate::ids::ServerKey;
 use crate::log::EventCode;
 use crate::time::Time;
@@ -36,52 +36,32 @@
 
 impl Router {
     /// Records the limit that a response of a server named; `None` if it named none.
-    pub fn record_rate_limit(&mut self, target: &Target, limit: Option<RateLimit>) {
-        let is_same = |state: &&mut ServerState| state.entry.start_id == target.entry.start_id;
-        let Some(state) = self.servers.get_mut(target.server).filter(is_same) else {
+    pub(super) fn record_rate_limit(&mut self, entry: &ServerEntry, limit: Option<RateLimit>) {
+        let Some(state) = self.servers.life_mut(&entry.id, entry.start_id) else {
             return;
         };
         state.limit_observed |= limit.is_some() || state.rate_limit.is_some();
-        self.set_rate_limit(target.server, limit);
-    }
-
-    /// Records that a response named a limit that cannot be used; the one in force stays.
-    pub fn record_invalid_rate_limit(&mut self, target: &Target, text: &str) {
-        let Some(state) = self.servers.get_mut(target.server) else {
-            return;
-        };
-        if !std::mem::replace(&mut state.names_invalid_limit, true) {
-            let id = state.entry.id.clone();
-            let detail = format!("ignored, not a non-negative number: {text:.40}");
-            self.log_event(EventCode::LimitInvalid, &*id, detail);
-        }
+        self.set_rate_limit(&entry.id, entry.start_id, limit);
     }
 
     /// Applies what another host has observed.
     pub fn apply_rate_limit(&mut self, report: &RateLimitReport) {
-        let Some(key) = self.servers.find(&report.server) else {
-            return;
-        };
-        let state = self.servers.get(key);
-        if state.is_some_and(|state| state.entry.start_id == report.start_id) {
-            self.set_rate_limit(key, report.limit);
-        }
+        self.set_rate_limit(&report.server, report.start_id, report.limit);
     }
 
-    fn set_rate_limit(&mut self, key: ServerKey, limit: Option<RateLimit>) {
-        let Some(state) = self.servers.get_mut(key) else {
+    fn set_rate_limit(&mut self, id: &str, start_id: Option<u64>, limit: Option<RateLimit>) {
+        let Some(state) = self.servers.life_mut(id, start_id) else {
             return;
         };
         let previous = std::mem::replace(&mut state.rate_limit, limit);
-        let id = state.entry.id.clone();
         match (previous, limit) {
             (None, Some(limit)) => {
                 let detail = format!("{:.1} requests per second", limit.per_second());
-                self.log_event(EventCode::LimitNamed, &*id, detail);
+                self.log_event(EventCode::LimitNamed, id, detail);
             }
             (Some(_), None) => {
                 state.rate_limiter.reset();
-                self.log_event(EventCode::LimitEnded, &*id, "");
+                self.log_event(EventCode::LimitEnded, id, "");
             }
             _ => {}
         }
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -49,7 +49,7 @@
 /// Earliest return of such callers, as a fraction of the mean time; the latest is one more.
 const MIN_RETURN_SPREAD: f64 = 0.5;
 /// Multiples of it, modulo 1, are spread evenly.
-const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+pub(super) const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
 impl Router {
     /// Finds the route and service of a request.
@@ -226,7 +226,7 @@
         let in_home_region = self.is_home_region(&plan.route, &entry.domain);
         entry.service == plan.service
             && in_home_region
-            && !entry.draining
+            && !state.is_drained(now, self.settings.drain)
             && !self.pending_removals.contains_key(&entry.id)
             && !self.evacuated.contains(&entry.domain)
             && state.ejected_until <= now
@@ -294,16 +294,18 @@
         excluded: &[ServerKey],
     ) -> Result<ServerKey, RouteRefusal> {
         let service = self.service(&plan.service);
-        let mut candidates: Vec<(Duration, ServerKey)> = Vec::new();
+        // Servers that leave come last, whatever they cost.
+        let mut candidates: Vec<(bool, Duration, ServerKey)> = Vec::new();
         for server in self.servers.of_service(&plan.service) {
             let eligible = self.is_eligible(now, *server, plan) && !excluded.contains(server);
             if let Some(state) = self.servers.get(*server).filter(|_| eligible) {
-                candidates.push((self.cost(now, plan, state), *server));
+                let cost = self.cost(now, plan, state);
+                candidates.push((state.is_leaving(), cost, *server));
             }
         }
         candidates.sort();
         let mut refusal = RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER / 2);
-        for (_, server) in candidates {
+        for (.., server) in candidates {
             match self.check_capacity(now, server, plan, service.as_ref()) {
                 Ok(()) => return Ok(server),
                 Err(reason) => refusal = reason,
--- a/crates/core/src/front/router/settling.rs
+++ b/crates/core/src/front/router/settling.rs
@@ -81,8 +81,8 @@
         let has_left = departed.is_some_and(|(start_id, _)| *start_id == entry.start_id);
         let known = self.servers.find(&entry.id);
         let known = known.and_then(|key| self.servers.get(key));
-        let is_leaving = known
-            .is_some_and(|state| state.entry.draining && state.entry.start_id == entry.start_id);
+        let is_leaving =
+            known.is_some_and(|state| state.is_leaving() && state.entry.start_id == entry.start_id);
         let is_held = has_left || is_leaving && !entry.draining;
         if is_held {
             let id = entry.id.clone();
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -29,6 +29,8 @@
     pub retry_window: Duration,
     /// Retries per window that are allowed in addition, over all hosts.
     pub retry_slack: f64,
+    /// Time within which a server that leaves must stop getting requests.
+    pub drain: Duration,
     /// Factor by which the request rate of a cold server may be exceeded.
     pub warm_factor: f64,
     /// Requests per second by which the request rate of a cold server may be exceeded in addition.
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -21,6 +21,12 @@
 const COLD_AFTER_UNREACHABLE: Duration = Duration::from_secs(3);
 /// How long a server that has ended a new connection at once is expected to do so again.
 const SATURATION_MEMORY: Duration = Duration::from_secs(5);
+/// Time for which a server is remembered after its entry was removed, in case the entry returns.
+const RETIREMENT: Duration = Duration::from_secs(600);
+/// Longest time for which a server counts as cold because of one entry.
+const MAX_WARMUP: Duration = Duration::from_secs(600);
+/// Time before the end of the drain time from which a leaving server gets no requests.
+const DRAIN_MARGIN: Duration = Duration::from_millis(250);
 /// Consecutive failed or lost answers after which a server is ejected.
 const EJECTION_FAILURES: u32 = 3;
 
@@ -85,8 +91,12 @@
     pub(super) exhausted_until: Time,
     /// Whether a response has confirmed, changed or ended the limit since the last report.
     pub(super) limit_observed: bool,
-    /// Whether it has named a limit that is not a number.
-    pub(super) names_invalid_limit: bool,
+    /// Since when it is known to be shutting down.
+    leaving_since: Option<Time>,
+    /// Whether a response has told of the shutdown since the last report.
+    pub(super) departure_observed: bool,
+    /// Whether it has sent a header about itself that cannot be used, which is logged once.
+    pub(super) sends_invalid_header: bool,
     /// Tie-breaker of this host between equal servers, from 0 to 1; lower is preferred.
     pub tie_break: f64,
     /// When it last ended a new connection at once.
@@ -99,6 +109,7 @@
 
 impl ServerState {
     fn new(entry: ServerEntry, now: Time, warmup_left: Duration, tie_break: f64) -> Self {
+        let leaving_since = entry.draining.then_some(now);
         Self {
             entry,
             load: ServerLoad::default(),
@@ -110,7 +121,9 @@
             allowance: (0, Time::ZERO),
             exhausted_until: Time::ZERO,
             limit_observed: false,
-            names_invalid_limit: false,
+            leaving_since,
+            departure_observed: false,
+            sends_invalid_header: false,
             tie_break,
             saturated_at: None,
             ejected_until: Time::ZERO,
@@ -124,6 +137,50 @@
         self.cold_until.max(self.presumed_cold_until) > now
     }
 
+    /// Whether it is shutting down, by its entry, a response or another host.
+    ///
+    /// A shutdown is never called off: an entry that says otherwise is older.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// Since when it is known to be shutting down.
+    pub fn leaving_since(&self) -> Option<Time> {
+        self.leaving_since
+    }
+
+    /// Records that it is shutting down; returns `false` if that is known.
+    pub(super) fn record_departure(&mut self, now: Time) -> bool {
+        let is_news = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        is_news
+    }
+
+    /// Whether it has been shutting down for so long that it must get no more requests, if it may get
+    /// some for the time `drain`.
+    pub(super) fn is_drained(&self, now: Time, drain: Duration) -> bool {
+        let drain = drain.saturating_sub(DRAIN_MARGIN);
+        self.entry.draining || self.leaving_since.is_some_and(|since| now >= since + drain)
+    }
+
+    /// Takes a new version of the entry of the same process.
+    fn update_entry(&mut self, now: Time, entry: ServerEntry) {
+        if !entry.warmup_left.is_zero() {
+            self.cold_until = now + entry.warmup_left.min(MAX_WARMUP);
+        }
+        if entry.draining {
+            self.record_departure(now);
+        }
+        self.entry = entry;
+    }
+
+    /// Whether an entry describes the same process as the present one.
+    fn is_same_life(&self, entry: &ServerEntry) -> bool {
+        entry.start_id == self.entry.start_id
+            && entry.address == self.entry.address
+            && entry.service == self.entry.service
+    }
+
     /// Whether it may end a new connection at once, since it has done so lately.
     pub fn may_be_saturated(&self, now: Time) -> bool {
         self.saturated_at
@@ -169,6 +226,9 @@
 pub struct Servers {
     arena: Arena<ServerKey, ServerState>,
     by_service: BTreeMap<Arc<str>, Vec<ServerKey>>,
+    /// The last life of servers whose entries were removed, and when: what a server has said holds
+    /// until its process ends, and its entry may return.
+    retired: BTreeMap<ServerKey, (ServerState, Time)>,
 }
 
 impl Servers {
@@ -185,45 +245,70 @@
         tie_break: f64,
     ) -> bool {
         let key = self.arena.intern(&entry.id);
-        if let Some(known) = self.arena.get(key) {
-            if is_earlier_incarnation(entry.start_id, known.entry.start_id) {
+        if let Some(known) = self.arena.get_mut(key) {
+            if is_earlier_life(entry.start_id, known.entry.start_id) {
                 return false;
             }
-            let same_incarnation = entry.start_id == known.entry.start_id
-                && entry.address == known.entry.address
-                && entry.service == known.entry.service;
-            if same_incarnation {
-                let mut state = known.clone();
-                let cold_until = now + entry.warmup_left;
-                if !entry.warmup_left.is_zero() {
-                    state.cold_until = cold_until;
-                }
-                state.entry = entry;
-                self.arena.set(key, Some(state));
+            if known.is_same_life(&entry) {
+                known.update_entry(now, entry);
                 return false;
             }
-            self.remove(key);
+            self.remove(now, key);
         }
         let warmup_left = entry.warmup_left.max(warm_up.unwrap_or_default());
+        let warmup_left = warmup_left.min(MAX_WARMUP);
         let service = entry.service.clone();
-        self.arena.set(
-            key,
-            Some(ServerState::new(entry, now, warmup_left, tie_break)),
-        );
+        let state = match self.retired.remove(&key) {
+            Some((mut state, _)) if state.is_same_life(&entry) => {
+                state.update_entry(now, entry);
+                state.cold_until = state.cold_until.max(now + warmup_left);
+                state
+            }
+            Some((moved, _)) if moved.entry.start_id == entry.start_id => ServerState {
+                leaving_since: moved.leaving_since,
+                ..ServerState::new(entry, now, warmup_left, tie_break)
+            },
+            _ => ServerState::new(entry, now, warmup_left, tie_break),
+        };
+        self.arena.set(key, Some(state));
         self.by_service.entry(service).or_default().push(key);
         true
     }
 
-    /// Removes a server.
-    pub fn remove(&mut self, key: ServerKey) {
-        if let Some(state) = self.arena.get(key)
-            && let Some(keys) = self.by_service.get_mut(&state.entry.service)
-        {
+    /// Removes a server; it is remembered for some time.
+    pub fn remove(&mut self, now: Time, key: ServerKey) {
+        let Some(state) = self.arena.get(key).cloned() else {
+            return;
+        };
+        if let Some(keys) = self.by_service.get_mut(&state.entry.service) {
             keys.retain(|known| *known != key);
         }
+        self.retired.insert(key, (state, now));
         self.arena.set(key, None);
     }
 
+    /// Forgets servers that were removed long ago.
+    pub fn forget_retired(&mut self, now: Time) {
+        self.retired
+            .retain(|_, (_, removed)| now.since(*removed) < RETIREMENT);
+    }
+
+    /// Returns a life of a server, whether or not it is listed.
+    pub fn life(&self, id: &str, start_id: Option<u64>) -> Option<&ServerState> {
+        let key = self.arena.find(id)?;
+        let retired = self.retired.get(&key).map(|(state, _)| state);
+        let mut lives = self.arena.get(key).into_iter().chain(retired);
+        lives.find(|state| state.entry.start_id == start_id)
+    }
+
+    /// Returns a life of a server for modification, whether or not it is listed.
+    pub fn life_mut(&mut self, id: &str, start_id: Option<u64>) -> Option<&mut ServerState> {
+        let key = self.arena.find(id)?;
+        let retired = self.retired.get_mut(&key).map(|(state, _)| state);
+        let mut lives = self.arena.get_mut(key).into_iter().chain(retired);
+        lives.find(|state| state.entry.start_id == start_id)
+    }
+
     /// Returns the key of an identifier.
     pub fn find(&self, id: &str) -> Option<ServerKey> {
         self.arena.find(id).filter(|key| self.get(*key).is_some())
@@ -250,6 +335,11 @@
     }
 }
 
-fn is_earlier_incarnation(new: Option<u64>, known: Option<u64>) -> bool {
-    matches!((new, known), (Some(new), Some(known)) if new < known)
+/// Whether an entry is older than the known one. Every server states its start, so one without is not
+/// the server's own.
+fn is_earlier_life(new: Option<u64>, known: Option<u64>) -> bool {
+    match (new, known) {
+        (Some(new), Some(known)) => new < known,
+        (new, known) => new.is_none() && known.is_some(),
+    }
 }
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -75,6 +75,7 @@
             retry_ratio: self.retry_ratio,
             retry_window: self.retry_window,
             retry_slack: self.retry_slack,
+            drain: self.drain,
             warm_factor: self.warm_factor,
             warm_slack: self.warm_slack,
         }
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -113,12 +113,15 @@
     LimitNamed = 1314, Info, "backend server names a limit";
     /// A backend server no longer names a limit.
     LimitEnded = 1315, Info, "backend server names no limit any more";
-    /// A backend server names a limit that is not a number.
-    LimitInvalid = 1316, Warn, "backend server names an invalid limit";
+    /// A backend server sends a header about itself that cannot be used.
+    #[serde(rename = "LimitInvalid")]
+    SignalInvalid = 1316, Warn, "backend server sends an invalid header";
     /// The host reaches no backend server and passes requests on to other hosts.
     ReachLost = 1317, Error, "host reaches no backend server";
     /// The host reaches backend servers again.
     ReachRegained = 1318, Info, "host reaches backend servers again";
+    /// A response or another host has told that a backend server leaves.
+    DepartureTold = 1319, Info, "backend server says that it leaves";
     /// The store does not respond.
     #[serde(rename = "StoreSilent")]
     StoreUnavailable = 1401, Error, "object store does not answer";
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -84,6 +84,7 @@
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 60.0,
+        drain: Duration::from_millis(2_500),
         warm_factor: 1.5,
         warm_slack: 5.0,
     })
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod bounds;
+mod departures;
 mod fixture;
 mod freshness;
 mod grants;
--- a/crates/core/tests/front/rate_limits.rs
+++ b/crates/core/tests/front/rate_limits.rs
@@ -6,8 +6,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, DemandShares, RateLimit, RateLimitReport, RatePool, RefusalCause, RoutePlan,
-    Router, RoutingSpan, RoutingTable, Target,
+    AttemptOutcome, DemandShares, LimitSignal, RateLimit, RateLimitReport, RatePool, RefusalCause,
+    RoutePlan, Router, RoutingSpan, RoutingTable, ServerSignals, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -36,6 +36,15 @@
     45.0, 45.0, 45.0, 75.0, 75.0, 61.0, 61.0, 61.0, 64.0, 64.0, 154.0, 152.0,
 ];
 
+/// Records that a response of a server names a limit, or none.
+fn name_limit(router: &mut Router, target: &Target, limit: Option<RateLimit>) {
+    let signals = ServerSignals {
+        limit: limit.map_or(LimitSignal::Ended, LimitSignal::Named),
+        ..ServerSignals::default()
+    };
+    router.record_signals(target.sent, &target.entry, &signals);
+}
+
 /// Most requests that a server with a limit may get in any window.
 fn allowed(limit: f64) -> usize {
     (1.5 * limit * WINDOW_MS as f64 / 1_000.0 + 5.0) as usize
@@ -155,7 +164,7 @@
                 self.told.entry(host).or_insert(now);
             }
             let router = &mut self.hosts[host];
-            router.record_rate_limit(&target, limit);
+            name_limit(router, &target, limit);
             let outcome = AttemptOutcome::Answered { success: true };
             router.record_outcome(Time::from_millis(now), &target, outcome, None);
         }
@@ -337,10 +346,10 @@
 #[test]
 fn limit_ends_with_a_response_that_names_none() {
     let (mut router, plan, target) = host_with_server(1);
-    router.record_rate_limit(&target, RateLimit::new(1.0));
+    name_limit(&mut router, &target, RateLimit::new(1.0));
     let limited = served(&mut router, &plan, 50);
 
-    router.record_rate_limit(&target, None);
+    name_limit(&mut router, &target, None);
 
     assert!(limited <= allowed(1.0), "{limited}");
     assert_eq!(served(&mut router, &plan, 50), 50);
@@ -349,13 +358,13 @@
 #[test]
 fn limit_ends_with_the_life_of_the_server() {
     let (mut router, plan, target) = host_with_server(1);
-    router.record_rate_limit(&target, RateLimit::new(0.0));
+    name_limit(&mut router, &target, RateLimit::new(0.0));
     let mut reborn = server("o1", "orders", "east-a", 2);
     reborn.slots = 100;
     router.replace_servers(Time::from_millis(START_MS + 50), vec![reborn]);
 
     // A late response of the earlier life says nothing about the present one.
-    router.record_rate_limit(&target, RateLimit::new(0.0));
+    name_limit(&mut router, &target, RateLimit::new(0.0));
 
     assert_eq!(router.rate_limit_count(), 0);
     assert!(served(&mut router, &plan, 10) > 5);
@@ -365,7 +374,7 @@
 fn limit_observed_by_another_host_is_applied_and_reported_once() {
     let (mut observer, _, target) = host_with_server(1);
     let (mut leader, ..) = host_with_server(1);
-    observer.record_rate_limit(&target, RateLimit::new(2.5));
+    name_limit(&mut observer, &target, RateLimit::new(2.5));
 
     let reports = observer.take_rate_limit_reports();
     let again = observer.take_rate_limit_reports();
@@ -384,7 +393,7 @@
 #[test]
 fn part_of_a_limit_is_left_to_more_urgent_requests() {
     let (mut router, plan, target) = host_with_server(1);
-    router.record_rate_limit(&target, RateLimit::new(10.0));
+    name_limit(&mut router, &target, RateLimit::new(10.0));
     let mut urgent = plan.clone();
     urgent.route = Arc::new(amaranthshunt_core::front::Route {
         priority: 0,
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -203,8 +203,10 @@
         for entry in &mut self.entry_hosts {
             entry.store_reachable = true;
         }
-        for backend in &mut self.backends {
-            backend.draining = false;
+        let now = self.now;
+        for backend in self.backends.iter_mut().filter(|backend| backend.draining) {
+            backend.stop(now);
+            backend.start();
         }
         self.schedule_entry_reads();
         self.run_for(millis);
--- a/crates/core/tests/front/sim/backend.rs
+++ b/crates/core/tests/front/sim/backend.rs
@@ -24,6 +24,21 @@
 }
 
 impl Backend {
+    /// Ends the process, which forgets its keys and tokens.
+    pub(super) fn stop(&mut self, restart_at: u64) {
+        self.up = false;
+        self.leases.clear();
+        self.accepted.clear();
+        self.restart_at = restart_at;
+    }
+
+    /// Starts the next life of a server that has ended.
+    pub(super) fn start(&mut self) {
+        self.up = true;
+        self.draining = false;
+        self.incarnation += 1;
+    }
+
     /// Grants keys; returns `false` if a higher token was accepted for one of them.
     pub(super) fn grant(&mut self, from: u16, to: u16, fence: u64, until: u64) -> bool {
         let newer = self
--- a/crates/core/tests/front/sim/faults.rs
+++ b/crates/core/tests/front/sim/faults.rs
@@ -40,16 +40,11 @@
                 self.server_partitions.insert((host, index));
             }
             7 => self.server_partitions.clear(),
-            8 => {
-                let backend = &mut self.backends[index];
-                backend.up = false;
-                backend.leases.clear();
-                backend.accepted.clear();
-                backend.restart_at = self.now + duration;
-                self.schedule_entry_reads();
-            }
+            // A server that leaves ends: nothing but its next life takes requests again.
+            8 => self.stop_backend(index, duration),
+            9 if self.backends[index].draining => self.stop_backend(index, duration),
             9 => {
-                self.backends[index].draining = !self.backends[index].draining;
+                self.backends[index].draining = true;
                 self.schedule_entry_reads();
             }
             10 => {
@@ -84,6 +79,12 @@
         self.era += 1;
     }
 
+    fn stop_backend(&mut self, index: usize, duration: u64) {
+        let restart_at = self.now + duration;
+        self.backends[index].stop(restart_at);
+        self.schedule_entry_reads();
+    }
+
     pub(super) fn restart_due_processes(&mut self) {
         for host in 0..self.entry_hosts.len() {
             let entry = &mut self.entry_hosts[host];
@@ -96,9 +97,7 @@
         let mut changed = false;
         for backend in &mut self.backends {
             if !backend.up && backend.restart_at <= self.now {
-                backend.up = true;
-                backend.draining = false;
-                backend.incarnation += 1;
+                backend.start();
                 changed = true;
             }
         }
@@ -124,7 +123,7 @@
                 entry.draining = backend.draining;
                 servers.upsert(now, entry, None, 0.0);
             } else if let Some(key) = servers.find(&backend.id) {
-                servers.remove(key);
+                servers.remove(now, key);
             }
         }
     }
--- a/crates/front/src/allowances.rs
+++ b/crates/front/src/allowances.rs
@@ -1,5 +1,5 @@
-//! Limits on requests per second that servers name: reads them from responses, and asks the leader
-//! for more requests than this host's share allows.
+//! Limits on requests per second that servers name: asks the leader for more requests than this host's
+//! share allows.
 //!
 //! A host sends what its own share of a limit allows without asking. `docs/platform-path.md`,
 //! "Limits of servers", tells how the rest is divided.
@@ -9,13 +9,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use amaranthshunt_core::front::{RoutePlan, Target};
-use amaranthshunt_platform as platform;
+use amaranthshunt_core::front::RoutePlan;
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 
 use crate::entry_host::EntryHost;
-use crate::http::Headers;
 use crate::lock::lock;
 use crate::messages::{Allowance, LimitMessage, RequestAllowance};
 
@@ -104,18 +102,3 @@
     host.with_router(|router, now| router.record_allowance(now, &server, reply));
     reply.is_ok()
 }
-
-/// Takes in the limit that a response names. One that names none ends the limit only if the server
-/// has signed it: rejections and other servers at its address say nothing about the limit.
-pub(crate) fn record_rate_limit(host: &EntryHost, target: &Target, headers: &Headers) {
-    match headers.get(platform::SERVER_LIMIT) {
-        Some(text) => host.with_router(|router, _| match platform::read_limit(text) {
-            Some(limit) => router.record_rate_limit(target, Some(limit)),
-            None => router.record_invalid_rate_limit(target, text),
-        }),
-        None if headers.contains(platform::UPSTREAM_SIGNATURE) => {
-            host.with_router(|router, _| router.record_rate_limit(target, None));
-        }
-        None => {}
-    }
-}
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -13,15 +13,18 @@
     pub(crate) store_era: u64,
     /// Servers that name a limit.
     pub(crate) limited_servers: u64,
+    /// Servers that are known to leave.
+    pub(crate) leaving_servers: u64,
 }
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 4] = [
+    pub const NAMES: [&'static str; 5] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
         "amaranthshunt_store_era",
         "amaranthshunt_limited_servers",
+        "amaranthshunt_leaving_servers",
     ];
 
     /// Every gauge in the Prometheus text format.
@@ -31,6 +34,7 @@
             self.config_age.as_millis(),
             u128::from(self.store_era),
             u128::from(self.limited_servers),
+            u128::from(self.leaving_servers),
         ];
         let lines = Self::NAMES
             .iter()
--- a/crates/front/src/http/head.rs
+++ b/crates/front/src/http/head.rs
@@ -61,7 +61,8 @@
         })
     }
 
-    fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+    /// The values of a header that are UTF-8, one for each line.
+    pub(crate) fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         let found = self
             .list
             .iter()
--- a/crates/front/src/leadership/execution.rs
+++ b/crates/front/src/leadership/execution.rs
@@ -96,7 +96,7 @@
     };
     task::spawn(async move {
         let may_send = || leader.may_send_orders(clock::now());
-        let (sent, reply) = leader.orders.send(&request, may_send).await;
+        let (sent, reply) = leader.orders.send(&host, &request, may_send).await;
         if reply == OrderReply::NotSent && leader.may_send_orders(clock::now()) {
             host.with_router(|router, now| router.record_failed_order(now, &request.entry.id));
         }
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of the leader.
 
+use std::time::Duration;
+
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::StoreRevision;
 
@@ -8,10 +10,14 @@
 use crate::entry_host::EntryHost;
 use crate::lock::lock;
 use crate::messages::{
-    Body, DemandShareMessage, Heartbeat, HelperMessage, KeyCounts, OverloadMessage, Report,
+    Body, DemandShareMessage, DepartureMessage, Heartbeat, HelperMessage, KeyCounts,
+    OverloadMessage, Report,
 };
 use crate::watch::KINDS;
 
+/// Time for which a departure is repeated in heartbeats, some of which may be lost.
+const DEPARTURE_TELLING: Duration = Duration::from_millis(3_000);
+
 /// Takes in this host's own report, and sends a heartbeat to all followers.
 pub(super) fn send_heartbeat(
     host: &EntryHost,
@@ -32,6 +38,7 @@
             limits: Vec::new(),
             store_era: host.store.era(),
             lacks_servers: false,
+            departures: Vec::new(),
         },
     );
     let member_count = lock(&leader.members).count();
@@ -63,18 +70,29 @@
         demand_shares: Vec::new(),
         counts_limits: true,
         helpers: Vec::new(),
+        departures: Vec::new(),
     };
+    let (recent, all) = host.with_router(|router, now| {
+        let recent = router.departures(now - DEPARTURE_TELLING);
+        (recent, router.departures(Time::ZERO))
+    });
     let own = lock(&leader.demand).tell(&host.settings.name);
     host.with_router(|router, now| router.update_demand_shares(now, own));
     let list = update_helpers(host, leader);
     leader.send_each(|name, follower| {
         let shares = lock(&leader.demand).tell(name);
         let helpers = follower.helpers_to_tell(name, &list);
+        let departures = if follower.take_is_new() {
+            &all
+        } else {
+            &recent
+        };
         let messages = shares.iter();
         let messages = messages.map(|(service, share)| DemandShareMessage::new(service, *share));
         Body::Heartbeat(Heartbeat {
             demand_shares: messages.collect(),
             helpers,
+            departures: departures.iter().map(DepartureMessage::from).collect(),
             ..heartbeat.clone()
         })
     });
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -56,11 +56,18 @@
     lacks_servers: bool,
     /// Generation of the list of helpers that it was told last.
     told_helpers: u64,
+    /// Whether it has been sent no heartbeat yet.
+    is_new: bool,
     /// The time in the last heartbeat to which the follower replied.
     pub(super) last_echo: Time,
 }
 
 impl Follower {
+    /// Whether this is the first heartbeat that it is sent.
+    pub(super) fn take_is_new(&mut self) -> bool {
+        std::mem::take(&mut self.is_new)
+    }
+
     /// The hosts that can help the follower, unless it was told them already: half of them the
     /// nearest ones, the others in other regions if there are any.
     pub(super) fn helpers_to_tell(&mut self, name: &str, all: &HelperList) -> Vec<HelperMessage> {
@@ -131,6 +138,7 @@
             },
             lacks_servers: hello.lacks_servers,
             told_helpers: 0,
+            is_new: true,
             last_echo: Time::ZERO,
         };
         followers.insert(name.to_owned(), follower);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -28,6 +28,7 @@
 mod reach;
 mod registration;
 mod response;
+mod signals;
 mod store;
 mod watch;
 
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use amaranthshunt_core::front::{
-    Overload, RateLimit, RateLimitReport, RoutingSpan, RoutingTable, ServerEntry, StoreRevision,
+    Departure, Overload, RateLimit, RateLimitReport, RoutingSpan, RoutingTable, ServerEntry,
+    StoreRevision,
 };
 use prost::{Message, Oneof};
 
@@ -146,6 +147,9 @@
     /// Hosts that reach servers, if they have changed.
     #[prost(message, repeated, tag = "12")]
     pub(crate) helpers: Vec<HelperMessage>,
+    /// Servers that responses have lately told to leave; all of them in the first heartbeat.
+    #[prost(message, repeated, tag = "13")]
+    pub(crate) departures: Vec<DepartureMessage>,
 }
 
 impl Heartbeat {
@@ -314,6 +318,37 @@
     /// Whether the sender reaches no server.
     #[prost(bool, tag = "7")]
     pub(crate) lacks_servers: bool,
+    /// Servers whose responses have told that they leave.
+    #[prost(message, repeated, tag = "8")]
+    pub(crate) departures: Vec<DepartureMessage>,
+}
+
+/// A server that has told in a response that it leaves.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct DepartureMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) server: String,
+    /// Start of the server's process.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) born: Option<u64>,
+}
+
+impl From<&Departure> for DepartureMessage {
+    fn from(departure: &Departure) -> Self {
+        Self {
+            server: departure.server.to_string(),
+            born: departure.start_id,
+        }
+    }
+}
+
+impl From<&DepartureMessage> for Departure {
+    fn from(message: &DepartureMessage) -> Self {
+        Self {
+            server: Arc::from(message.server.as_str()),
+            start_id: message.born,
+        }
+    }
 }
 
 /// The limit of a server on requests per second.
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -10,9 +10,11 @@
 use async_std::future::timeout;
 
 use crate::clock;
+use crate::entry_host::EntryHost;
 use crate::http::Connection;
 use crate::lock::lock;
 use crate::pool::Pool;
+use crate::signals::{Answered, observe};
 
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -53,6 +55,7 @@
     /// order may wait long for its turn, so `may_send` is asked right before it is written.
     pub(crate) async fn send(
         &self,
+        host: &EntryHost,
         request: &OrderRequest,
         may_send: impl Fn() -> bool,
     ) -> (Time, OrderReply) {
@@ -90,7 +93,7 @@
         } else {
             RELEASE_TIMEOUT
         };
-        let result = timeout(time_limit, exchange(&mut connection, request)).await;
+        let result = timeout(time_limit, exchange(host, &mut connection, request)).await;
         let Ok(Ok((status, handover, is_reusable))) = result else {
             return (sent, OrderReply::Unknown);
         };
@@ -108,6 +111,7 @@
 }
 
 async fn exchange(
+    host: &EntryHost,
     connection: &mut Connection,
     request: &OrderRequest,
 ) -> crate::http::Result<(u16, Option<String>, bool)> {
@@ -122,6 +126,7 @@
     .into_bytes();
     bytes.extend_from_slice(&request.body);
     let (head, sent_completely) = connection.exchange(&bytes, false).await?;
+    observe(host, &request.entry, &head, Answered::Earlier);
     connection
         .read_body(head.framing, RESPONSE_BODY_LIMIT)
         .await?;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Overload, RateLimitReport, RoutingTable, TransitDelay};
+use amaranthshunt_core::front::{Departure, Overload, RateLimitReport, RoutingTable, TransitDelay};
 use async_std::channel::{Receiver, bounded};
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -20,7 +20,8 @@
 use crate::leadership::{LeaderState, take_key_counts};
 use crate::link::Link;
 use crate::messages::{
-    Allowance, Body, DemandShareMessage, Heartbeat, Hello, LimitMessage, Report, RequestAllowance,
+    Allowance, Body, DemandShareMessage, DepartureMessage, Heartbeat, Hello, LimitMessage, Report,
+    RequestAllowance,
 };
 use crate::watch::{self, KINDS};
 
@@ -105,6 +106,7 @@
             Either::Right(Some(Body::Report(mut report))) => {
                 host.learn_store_era(report.store_era);
                 apply_rate_limits(host, std::mem::take(&mut report.limits));
+                apply_departures(host, &report.departures);
                 leader.handle_report(&hello.name, report);
                 Some(())
             }
@@ -141,6 +143,18 @@
     });
 }
 
+/// Applies the departures that responses have told another host.
+fn apply_departures(host: &EntryHost, departures: &[DepartureMessage]) {
+    if departures.is_empty() {
+        return;
+    }
+    host.with_router(|router, now| {
+        for departure in departures {
+            router.apply_departure(now, &Departure::from(departure));
+        }
+    });
+}
+
 /// Counts out one more request to a server that names a limit.
 fn reply_to(host: &EntryHost, leader: &LeaderState, request: RequestAllowance) -> Allowance {
     let limits = request.limit.into_iter().collect::<Vec<LimitMessage>>();
@@ -215,6 +229,7 @@
                     let age = Duration::from_millis(*age) + delay;
                     host.update_freshness(kind, |f, now| f.record_announcement(now, change, age));
                 }
+                apply_departures(host, &heartbeat.departures);
                 let overloads: Vec<Overload> =
                     heartbeat.overloads.iter().map(Overload::from).collect();
                 let shares: BTreeMap<Arc<str>, f64> = heartbeat
@@ -278,6 +293,11 @@
             .collect(),
         store_era: host.store.era(),
         lacks_servers: !host.reaches_servers(),
+        departures: host
+            .with_router(|router, _| router.take_departure_reports())
+            .iter()
+            .map(DepartureMessage::from)
+            .collect(),
     }
 }
 
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -15,14 +15,14 @@
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
 
-use crate::allowances::{ask_allowance, record_rate_limit};
+use crate::allowances::ask_allowance;
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::{RequestHead, ResponseHead};
 use crate::messages::MissingKey;
 use crate::response::Response;
 use relay::relay;
-pub(crate) use relay::{REFUSAL, SENDS, SERVER};
+pub(crate) use relay::{REFUSAL, SENDS, SERVER, SERVER_START};
 use send::{SendResult, send};
 
 /// Minimum time that must remain until the deadline for an attempt to start.
@@ -275,16 +275,19 @@
 ) -> NextStep {
     let server = &target.entry.id;
     match result {
-        SendResult::Response(head, body) => {
+        SendResult::Response(head, body, report) => {
             attempts.sends += 1;
-            let report = head
-                .headers
-                .get(platform::UPSTREAM_LOAD)
-                .and_then(platform::read_load);
             evaluate_response(
                 host, request, target, &head, body, report, running, attempts,
             )
         }
+        SendResult::Withdrawn => {
+            running.finish(AttemptOutcome::Abandoned, None);
+            NextStep::NotRun(RouteRefusal {
+                cause: RefusalCause::NoServer,
+                retry_after: Some(Duration::from_millis(200)),
+            })
+        }
         SendResult::Unreachable => {
             running.finish(AttemptOutcome::Unreachable, None);
             attempts.unreachable += 1;
@@ -343,10 +346,6 @@
 ) -> NextStep {
     let server = &target.entry.id;
     let misdirected = head.status == 421;
-    // Without keys, a misdirected request has met another server at the same address.
-    if !misdirected || request.plan.keyed {
-        record_rate_limit(host, target, &head.headers);
-    }
     if misdirected || head.headers.contains(platform::NOT_EXECUTED) {
         attempts.avoided.push(target.server);
         let outcome = if misdirected {
@@ -399,5 +398,5 @@
         attempts.avoided.push(target.server);
         return NextStep::MayHaveRun(502, format!("{server} responded with {}", head.status));
     }
-    NextStep::Done(Response::forwarded(head, body, request.is_bodiless()).made_by(server.clone()))
+    NextStep::Done(Response::forwarded(head, body, request.is_bodiless()).made_by(&target.entry))
 }
--- a/crates/front/src/proxy/relay.rs
+++ b/crates/front/src/proxy/relay.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{RateLimitReport, RefusalCause, RouteRefusal};
+use amaranthshunt_core::front::{RefusalCause, RouteRefusal};
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
 
@@ -14,6 +14,7 @@
 use crate::http::{Connection, Headers, HttpError, ResponseHead, within};
 use crate::pool::PoolKey;
 use crate::response::Response;
+use crate::signals::observe_relayed;
 
 /// Header of a request that another host has received: how often it was sent to servers already.
 pub(crate) const SENDS: &str = "amaranthshunt-sends";
@@ -21,6 +22,8 @@
 pub(crate) const REFUSAL: &str = "amaranthshunt-refusal";
 /// Header of a response to such a request: the server that made it.
 pub(crate) const SERVER: &str = "amaranthshunt-server";
+/// Header of a response to such a request: the start of that server's process.
+pub(crate) const SERVER_START: &str = "amaranthshunt-server-start";
 /// Hosts that are asked to serve a request, at most.
 const HELPER_LIMIT: usize = 3;
 /// Timeout for connecting to another host.
@@ -69,7 +72,7 @@
         host.counters.relayed.add();
         match send(host, request, &helper, attempts.sends, remaining).await {
             RelayResult::Response(head, body) => {
-                record_limit(host, &head.headers);
+                observe_relayed(host, &head);
                 return Response::forwarded(&head, body, request.is_bodiless());
             }
             RelayResult::Refused(reason) => {
@@ -184,26 +187,3 @@
         retry_after,
     })
 }
-
-/// Takes in the limit of the server that made a response: once this host reaches it again, it has to
-/// keep to it.
-fn record_limit(host: &EntryHost, headers: &Headers) {
-    let limit = headers
-        .get(platform::SERVER_LIMIT)
-        .and_then(platform::read_limit);
-    let Some((server, limit)) = headers.get(SERVER).zip(limit) else {
-        return;
-    };
-    host.with_router(|router, _| {
-        let server = router.servers().find(server);
-        let entry = server.and_then(|key| router.servers().get(key).map(|state| &state.entry));
-        let report = entry.map(|entry| RateLimitReport {
-            server: entry.id.clone(),
-            start_id: entry.start_id,
-            limit: Some(limit),
-        });
-        if let Some(report) = report {
-            router.apply_rate_limit(&report);
-        }
-    });
-}
--- a/crates/front/src/proxy/send.rs
+++ b/crates/front/src/proxy/send.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{RefusalCause, Target};
+use amaranthshunt_core::front::{LoadReport, RefusalCause, ServerEntry, Target};
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
 
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::{Connection, HttpError, ResponseHead, within};
+use crate::signals::{Answered, observe};
 
 /// Timeout for connecting to a server, after which the server counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -35,11 +36,13 @@
 /// The result of sending a request to a server once.
 pub(super) enum SendResult {
     /// A complete response to this request.
-    Response(ResponseHead, Bytes),
+    Response(ResponseHead, Bytes, Option<LoadReport>),
     /// No connection could be opened, so nothing was sent.
     Unreachable,
     /// The server ended the new connection before anything was sent.
     Saturated,
+    /// Nothing was sent, since the server must get no more requests by now.
+    Withdrawn,
     /// Nothing was sent, since nobody would get the response.
     Pointless(RefusalCause),
     /// The connection failed; the request may have run.
@@ -78,16 +81,22 @@
     if remaining < MIN_ATTEMPT_TIME {
         return SendResult::Pointless(RefusalCause::Deadline);
     }
+    // Since it was selected, the server may have told this host that it leaves.
+    if !host.with_router(|router, now| router.may_still_send(now, target)) {
+        host.pool.keep(entry, connection, DEFAULT_IDLE_TIMEOUT);
+        return SendResult::Withdrawn;
+    }
     let bytes = request.to_bytes(remaining, platform::TARGET_INSTANCE, &entry.id);
     let result = within(
         remaining + RESPONSE_MARGIN,
-        receive(host, &mut connection, request, &bytes),
+        receive(host, &mut connection, request, entry, &bytes),
     )
     .await;
     match result {
         Ok(ReceivedResponse {
             head,
             body,
+            load,
             is_clean,
         }) => {
             if is_clean && head.keep_alive && !connection.has_buffered_data() {
@@ -100,7 +109,7 @@
                 });
                 host.pool.keep(entry, connection, idle_timeout);
             }
-            SendResult::Response(head, body)
+            SendResult::Response(head, body, load)
         }
         Err(_) if clock::now() >= request.deadline() => SendResult::TimedOut,
         Err(error) => SendResult::Lost(error),
@@ -111,6 +120,8 @@
 struct ReceivedResponse {
     head: ResponseHead,
     body: Bytes,
+    /// The load of the server.
+    load: Option<LoadReport>,
     /// Whether the request was sent completely and no response was skipped, so that the connection
     /// may be reused.
     is_clean: bool,
@@ -121,11 +132,22 @@
     host: &EntryHost,
     connection: &mut Connection,
     request: &Request,
+    entry: &ServerEntry,
     bytes: &[u8],
 ) -> crate::http::Result<ReceivedResponse> {
     let bodiless = request.is_bodiless();
     let (mut head, mut is_clean) = connection.exchange(bytes, bodiless).await?;
     for _ in 0..STALE_RESPONSE_LIMIT {
+        // A response without an identifier may belong to an earlier request on the connection, so
+        // that it says nothing about this one.
+        let id = head.headers.get(platform::REQUEST_ID).unwrap_or_default();
+        let is_current = id == request.id;
+        let answered = if is_current {
+            Answered::Current
+        } else {
+            Answered::Earlier
+        };
+        let load = observe(host, entry, &head, answered);
         let limit = if head.headers.contains(platform::UPSTREAM_SIGNATURE) {
             RESPONSE_BODY_LIMIT
         } else {
@@ -135,13 +157,11 @@
         let body = connection
             .read_accounted_body(head.framing, limit, account)
             .await?;
-        // A response without an identifier may belong to an earlier request on the connection, so
-        // that it says nothing about this one.
-        let id = head.headers.get(platform::REQUEST_ID).unwrap_or_default();
-        if id == request.id {
+        if is_current {
             return Ok(ReceivedResponse {
                 head,
                 body,
+                load,
                 is_clean,
             });
         }
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthshunt_core::front::{RefusalCause, RouteRefusal};
+use amaranthshunt_core::front::{RefusalCause, RouteRefusal, ServerEntry};
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
 
 use crate::http::ResponseHead;
-use crate::proxy::{REFUSAL, SERVER};
+use crate::proxy::{REFUSAL, SERVER, SERVER_START};
 
 /// Headers of a server's response that are not forwarded to callers.
-const HOST_ONLY_HEADERS: [&str; 3] = [platform::UPSTREAM_LOAD, REFUSAL, SERVER];
+const HOST_ONLY_HEADERS: [&str; 4] = [platform::UPSTREAM_LOAD, REFUSAL, SERVER, SERVER_START];
 
 /// A response, ready to be written to a caller.
 #[derive(Clone, Debug)]
@@ -24,8 +24,8 @@
     body: Bytes,
     /// Why the host refused the request, if it did.
     refusal: Option<RefusalCause>,
-    /// The server that made the response, if one did.
-    server: Option<Arc<str>>,
+    /// The server that made the response, if one did, and the start of its process.
+    server: Option<(Arc<str>, Option<u64>)>,
 }
 
 impl Response {
@@ -51,9 +51,9 @@
 
     /// Names the server that made the response.
     #[must_use]
-    pub(crate) fn made_by(self, server: Arc<str>) -> Self {
+    pub(crate) fn made_by(self, entry: &ServerEntry) -> Self {
         Self {
-            server: Some(server),
+            server: Some((entry.id.clone(), entry.start_id)),
             ..self
         }
     }
@@ -65,9 +65,12 @@
             let header = format!("{REFUSAL}: {cause:?}\r\n");
             self.head.extend_from_slice(header.as_bytes());
         }
-        if let Some(server) = &self.server {
-            let header = format!("{SERVER}: {server}\r\n");
-            self.head.extend_from_slice(header.as_bytes());
+        if let Some((server, start_id)) = &self.server {
+            let mut headers = format!("{SERVER}: {server}\r\n");
+            if let Some(start_id) = start_id {
+                headers.push_str(&format!("{SERVER_START}: {start_id}\r\n"));
+            }
+            self.head.extend_from_slice(headers.as_bytes());
         }
         self
     }
