--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -396,6 +396,7 @@
         let id = state.entry.id.clone();
         match outcome {
             AttemptOutcome::Answered { success } => {
+                state.record_execution();
                 state.load.record_latency(now, latency, baseline);
                 let new_baseline =
                     baseline.mul_f64(1.0 - BASELINE_WEIGHT) + latency.mul_f64(BASELINE_WEIGHT);
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -49,7 +49,7 @@
 /// Earliest return of such callers, as a fraction of the mean time; the latest is one more.
 const MIN_RETURN_SPREAD: f64 = 0.5;
 /// Multiples of it, modulo 1, are spread evenly.
-pub(super) const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
 impl Router {
     /// Finds the route and service of a request.
@@ -118,9 +118,6 @@
         sends: usize,
         time_left: Duration,
     ) -> Result<Target, RouteRefusal> {
-        if sends > 0 {
-            self.check_retry(now, plan, sends)?;
-        }
         let chosen = match key {
             Some(key) if plan.keyed => self.key_owner(now, plan, key)?,
             _ if plan.keyed => return Err(RouteRefusal::new(RefusalCause::NoOwner, KEY_MOVE_TIME)),
@@ -128,9 +125,8 @@
         };
         let baseline = self.baseline_latency(&plan.service);
         let typical = self.typical_load(&plan.service);
-        let Some(state) = self.servers.get_mut(chosen) else {
-            return Err(RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER));
-        };
+        let no_server = RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER);
+        let state = self.servers.get(chosen).ok_or(no_server)?;
         let expected = state
             .load
             .expected_latency(now, state.entry.slots, baseline, typical);
@@ -141,6 +137,10 @@
                 retry_after: None,
             });
         }
+        if sends > 0 {
+            self.check_retry(now, plan, sends)?;
+        }
+        let state = self.servers.get_mut(chosen).ok_or(no_server)?;
         if state.is_cold(now) {
             state.cold_limiter.record_send(now);
         } else {
@@ -195,6 +195,9 @@
         if !self.is_eligible(now, server, plan) {
             return Err(no_owner);
         }
+        if let Some(left) = self.pause_left(now, server) {
+            return Err(self.pause_refusal(left));
+        }
         if !self.admission.admits(now, id) {
             return Err(self.overload_refusal(plan, RefusalCause::Busy));
         }
@@ -205,8 +208,7 @@
     /// Refuses a request for an overloaded server. Its keys are on the move to other servers, which
     /// takes about as long as the work that is running; callers return spread around that time.
     fn overload_refusal(&mut self, plan: &RoutePlan, cause: RefusalCause) -> RouteRefusal {
-        self.refusal_count = self.refusal_count.wrapping_add(1);
-        let spread = (f64::from(self.refusal_count) * GOLDEN_RATIO).fract();
+        let spread = self.next_spread();
         let after = self
             .baseline_latency(&plan.service)
             .clamp(KEY_MOVE_TIME, MAX_OVERLOAD_DELAY)
@@ -217,6 +219,13 @@
         }
     }
 
+    /// A number from 0 to 1, other for each refusal, by which callers are told to return at different
+    /// times.
+    pub(super) fn next_spread(&mut self) -> f64 {
+        self.refusal_count = self.refusal_count.wrapping_add(1);
+        (f64::from(self.refusal_count) * GOLDEN_RATIO).fract()
+    }
+
     /// Whether requests of a route may be sent to a server, regardless of its load.
     fn is_eligible(&self, now: Time, server: ServerKey, plan: &RoutePlan) -> bool {
         let Some(state) = self.servers.get(server) else {
@@ -273,8 +282,12 @@
         let queue = MAX_QUEUE_DEPTH - PRIORITY_STEP * f64::from(plan.route.priority);
         let depth = slots + queue.max(MIN_QUEUE_DEPTH);
         let own_limit = (depth * OWN_SHARE_FACTOR / hosts as f64).max(MIN_OWN_REQUESTS);
+        let is_probe_under_way = state.is_probed() && state.load.own_in_flight() > 0;
         let is_own_share_used = plan.keyed && state.load.own_in_flight() as f64 + 1.0 > own_limit;
-        if is_own_share_used || state.load.total_in_flight(now, typical) + 1.0 > depth {
+        if is_probe_under_way
+            || is_own_share_used
+            || state.load.total_in_flight(now, typical) + 1.0 > depth
+        {
             let expected = state
                 .load
                 .expected_latency(now, state.entry.slots, baseline, typical);
@@ -296,15 +309,24 @@
         let service = self.service(&plan.service);
         // Servers that leave come last, whatever they cost.
         let mut candidates: Vec<(bool, Duration, ServerKey)> = Vec::new();
+        let mut shortest_pause: Option<Duration> = None;
         for server in self.servers.of_service(&plan.service) {
             let eligible = self.is_eligible(now, *server, plan) && !excluded.contains(server);
+            if let Some(left) = self.pause_left(now, *server).filter(|_| eligible) {
+                let shortest = shortest_pause.map_or(left, |shortest| shortest.min(left));
+                shortest_pause = Some(shortest);
+                continue;
+            }
             if let Some(state) = self.servers.get(*server).filter(|_| eligible) {
                 let cost = self.cost(now, plan, state);
                 candidates.push((state.is_leaving(), cost, *server));
             }
         }
         candidates.sort();
-        let mut refusal = RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER / 2);
+        let mut refusal = match shortest_pause {
+            Some(left) => self.pause_refusal(left),
+            None => RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER / 2),
+        };
         for (.., server) in candidates {
             match self.check_capacity(now, server, plan, service.as_ref()) {
                 Ok(()) => return Ok(server),
--- a/crates/core/src/front/router/signals.rs
+++ b/crates/core/src/front/router/signals.rs
@@ -1,17 +1,21 @@
-//! What servers say of themselves in responses.
+//! What servers say of themselves in responses: that they leave, and pauses that they ask for.
 //!
 //! `docs/platform-path.md`, "What servers say of themselves", lists who is bound by what.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Router;
-use super::types::Target;
-use crate::front::server_signals::{Departure, LimitSignal, ServerSignals};
+use super::types::{RefusalCause, RouteRefusal, Target};
+use crate::front::server_signals::{Departure, LimitSignal, MAX_PAUSE, ServerSignals};
 use crate::front::servers::ServerEntry;
 use crate::ids::ServerKey;
 use crate::log::EventCode;
 use crate::time::Time;
 
+/// Time over which callers return that are refused because of one pause.
+const CALLER_SPREAD: Duration = Duration::from_millis(250);
+
 impl Router {
     /// Records what a response says of the server with an entry.
     ///
@@ -26,6 +30,12 @@
             state.departure_observed = true;
             events.push((EventCode::DepartureTold, "by a response".to_owned()));
         }
+        if let Some(pause) = signals.pause.map(|pause| pause.min(MAX_PAUSE))
+            && state.record_pause(now, pause)
+        {
+            let detail = format!("for {} ms", pause.as_millis());
+            events.push((EventCode::PauseRequested, detail));
+        }
         if let Some(header) = signals.invalid.first()
             && !std::mem::replace(&mut state.sends_invalid_header, true)
         {
@@ -80,6 +90,13 @@
         servers.filter(|(_, state)| state.is_leaving()).count()
     }
 
+    /// Number of listed servers that have asked this host for a pause which lasts.
+    pub fn paused_count(&self, now: Time) -> usize {
+        let servers = self.servers.iter();
+        let paused = servers.filter(|(_, state)| state.pause_left(now).is_some());
+        paused.count()
+    }
+
     /// Whether a response that a request was misdirected may come from the server with an entry.
     ///
     /// A server without keys rejects no request that is meant for it, so another one answers at its
@@ -97,7 +114,22 @@
         let entry = &target.entry;
         self.servers
             .life(&entry.id, entry.start_id)
-            .is_some_and(|state| !state.is_drained(now, self.settings.drain))
+            .is_some_and(|state| {
+                state.pause_left(now).is_none() && !state.is_drained(now, self.settings.drain)
+            })
+    }
+
+    pub(super) fn pause_left(&self, now: Time, server: ServerKey) -> Option<Duration> {
+        self.servers.get(server)?.pause_left(now)
+    }
+
+    /// Refuses a request for servers that have asked for a pause. Callers return spread over the time
+    /// after it.
+    pub(super) fn pause_refusal(&mut self, left: Duration) -> RouteRefusal {
+        RouteRefusal {
+            cause: RefusalCause::Paused,
+            retry_after: Some(left + CALLER_SPREAD.mul_f64(self.next_spread())),
+        }
     }
 }
 
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -82,6 +82,8 @@
     /// The eligible servers have named limits on requests per second, and this host's share of them
     /// is used up.
     Limited,
+    /// The eligible servers have asked this host to send them nothing for some time.
+    Paused,
     /// The eligible servers are cold and this host's share of their request rate is used up.
     Cold,
     /// The request has been sent the maximum number of times, or the retry budget is used up.
--- a/crates/core/src/front/server_signals.rs
+++ b/crates/core/src/front/server_signals.rs
@@ -1,10 +1,15 @@
 //! What a server says of itself in a response.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::load::LoadReport;
 use super::rate_limit::RateLimit;
 
+/// Longest pause that a server gets, so that one odd response does not take it out of service. It may
+/// ask again.
+pub(super) const MAX_PAUSE: Duration = Duration::from_secs(60);
+
 /// What one response says of the server that sent it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerSignals {
@@ -14,6 +19,8 @@
     pub limit: LimitSignal,
     /// Whether it is about to shut down. This holds for the rest of the life of the process.
     pub leaving: bool,
+    /// Time for which it asks this host to send it no requests.
+    pub pause: Option<Duration>,
     /// Headers whose values cannot be used, as `name: value`.
     pub invalid: Vec<String>,
 }
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -27,6 +27,10 @@
 const MAX_WARMUP: Duration = Duration::from_secs(600);
 /// Time before the end of the drain time from which a leaving server gets no requests.
 const DRAIN_MARGIN: Duration = Duration::from_millis(250);
+/// Longest time over which hosts spread their return to a server after a pause.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(1_000);
+/// The same as a divisor of the pause.
+const RETURN_SPREAD_DIVISOR: u32 = 4;
 /// Consecutive failed or lost answers after which a server is ejected.
 const EJECTION_FAILURES: u32 = 3;
 
@@ -95,6 +99,10 @@
     leaving_since: Option<Time>,
     /// Whether a response has told of the shutdown since the last report.
     pub(super) departure_observed: bool,
+    /// Until when it has asked this host to send it no requests.
+    paused_until: Time,
+    /// Whether it has executed no request since the last pause, so that it gets one at a time.
+    is_probed: bool,
     /// Whether it has sent a header about itself that cannot be used, which is logged once.
     pub(super) sends_invalid_header: bool,
     /// Tie-breaker of this host between equal servers, from 0 to 1; lower is preferred.
@@ -123,6 +131,8 @@
             limit_observed: false,
             leaving_since,
             departure_observed: false,
+            paused_until: Time::ZERO,
+            is_probed: false,
             sends_invalid_header: false,
             tie_break,
             saturated_at: None,
@@ -163,6 +173,37 @@
         self.entry.draining || self.leaving_since.is_some_and(|since| now >= since + drain)
     }
 
+    /// What is left of the pause that it has asked this host for.
+    pub(super) fn pause_left(&self, now: Time) -> Option<Duration> {
+        Some(self.paused_until.since(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Records that it asks this host to send it no requests for some time; returns whether a new pause
+    /// has begun.
+    ///
+    /// Hosts return at different times, so that they do not overload it again together.
+    pub(super) fn record_pause(&mut self, now: Time, pause: Duration) -> bool {
+        if pause.is_zero() {
+            return false;
+        }
+        let is_new = self.pause_left(now).is_none();
+        let spread = (pause / RETURN_SPREAD_DIVISOR).min(MAX_RETURN_SPREAD);
+        let until = now + pause + spread.mul_f64(self.tie_break.clamp(0.0, 1.0));
+        self.paused_until = self.paused_until.max(until);
+        self.is_probed = true;
+        is_new
+    }
+
+    /// Whether it gets one request at a time, since it has executed none after a pause.
+    pub(super) fn is_probed(&self) -> bool {
+        self.is_probed
+    }
+
+    /// Records that it executes requests again after a pause.
+    pub(super) fn record_execution(&mut self) {
+        self.is_probed = false;
+    }
+
     /// Takes a new version of the entry of the same process.
     fn update_entry(&mut self, now: Time, entry: ServerEntry) {
         if !entry.warmup_left.is_zero() {
@@ -266,6 +307,8 @@
             }
             Some((moved, _)) if moved.entry.start_id == entry.start_id => ServerState {
                 leaving_since: moved.leaving_since,
+                paused_until: moved.paused_until,
+                is_probed: moved.is_probed,
                 ..ServerState::new(entry, now, warmup_left, tie_break)
             },
             _ => ServerState::new(entry, now, warmup_left, tie_break),
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -122,6 +122,8 @@
     ReachRegained = 1318, Info, "host reaches backend servers again";
     /// A response or another host has told that a backend server leaves.
     DepartureTold = 1319, Info, "backend server says that it leaves";
+    /// A backend server has asked this host to send it nothing for some time.
+    PauseRequested = 1320, Info, "backend server asks for a pause";
     /// The store does not respond.
     #[serde(rename = "StoreSilent")]
     StoreUnavailable = 1401, Error, "object store does not answer";
--- a/crates/core/tests/front/departures.rs
+++ b/crates/core/tests/front/departures.rs
@@ -6,14 +6,13 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, Departure, RefusalCause, RoutePlan, Router, RoutingSpan, RoutingTable,
-    ServerEntry, ServerSignals, Target,
+    AttemptOutcome, Departure, RefusalCause, RoutePlan, Router, ServerEntry, ServerSignals, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
 
-use crate::fixture::{KEYED, config, route, router_of, server};
+use crate::fixture::{KEYED, host_before, server};
 
 /// Time within which a server that leaves must stop getting requests.
 const DRAIN: Duration = Duration::from_millis(2_500);
@@ -30,34 +29,6 @@
     }
 }
 
-/// A host with the given servers of the service without keys, and one that holds all keys.
-fn host(name: &str, ids: &[&str]) -> Router {
-    let mut router = router_of(name);
-    let routes = vec![
-        route("plain", "/o/", "orders"),
-        route("keyed", "/k/", KEYED),
-    ];
-    router.update_config(Arc::new(config(1, routes)));
-    router.set_hosts(1);
-    let mut entries: Vec<ServerEntry> = ids
-        .iter()
-        .map(|id| server(id, "orders", "east-a", 1))
-        .collect();
-    entries.push(server("holder", KEYED, "east-a", 1));
-    router.replace_servers(at(0), entries);
-    let span = RoutingSpan {
-        from: 0,
-        to: u16::MAX,
-        server: Some(Arc::from("holder")),
-    };
-    router.update_table(RoutingTable {
-        term: 1,
-        version: 1,
-        services: BTreeMap::from([(Arc::from(KEYED), vec![span])]),
-    });
-    router
-}
-
 fn plan(router: &mut Router, path: &str) -> RoutePlan {
     router.plan(at(0), "shop", path).unwrap()
 }
@@ -79,7 +50,7 @@
 // Guards against DRAIN: hosts sent requests to servers whose responses had said that they leave.
 #[test]
 fn other_servers_take_the_requests_of_one_that_leaves_at_once() {
-    let mut router = host("h1", &["a", "b"]);
+    let mut router = host_before("h1", &["a", "b"]);
     let plan = plan(&mut router, "/o/");
     let first = sent_to(&mut router, at(0), &plan).unwrap();
 
@@ -101,7 +72,7 @@
     id: &str,
     refused: RefusalCause,
 ) {
-    let mut router = host("h1", &["a"]);
+    let mut router = host_before("h1", &["a"]);
     let plan = plan(&mut router, path);
     let target = sent_to(&mut router, at(0), &plan).unwrap();
     router.record_signals(at(0), &target.entry, &leaving());
@@ -117,7 +88,7 @@
 // leaves, and waited for a connection, was sent when the drain time was over.
 #[test]
 fn request_that_waits_is_not_sent_after_the_drain_time() {
-    let mut router = host("h1", &["a", "b"]);
+    let mut router = host_before("h1", &["a", "b"]);
     let plan = plan(&mut router, "/o/");
     let target = sent_to(&mut router, at(0), &plan).unwrap();
     router.record_signals(at(10), &target.entry, &leaving());
@@ -136,7 +107,7 @@
     drained_entry_that_lapses_and_is_restored = { true, true, 1 },
 )]
 fn leave_outlasts_the_entry(lapses: bool, drains: bool, start_id: u64) {
-    let mut router = host("h1", &["a"]);
+    let mut router = host_before("h1", &["a"]);
     let plan = plan(&mut router, "/o/");
     let target = sent_to(&mut router, at(0), &plan).unwrap();
     if drains {
@@ -160,7 +131,7 @@
 
 #[test]
 fn response_that_arrives_after_the_entry_was_removed_counts_when_it_returns() {
-    let mut router = host("h1", &["a"]);
+    let mut router = host_before("h1", &["a"]);
     let plan = plan(&mut router, "/o/");
     let target = sent_to(&mut router, at(0), &plan).unwrap();
     router.remove_server(at(10), "a");
@@ -174,7 +145,7 @@
 // Guards against a server that is taken out for ever: a leave ends with the life that told it.
 #[test]
 fn next_life_of_a_server_that_left_gets_requests() {
-    let mut router = host("h1", &["a"]);
+    let mut router = host_before("h1", &["a"]);
     let plan = plan(&mut router, "/o/");
     let target = sent_to(&mut router, at(0), &plan).unwrap();
     router.record_signals(at(0), &target.entry, &leaving());
@@ -191,7 +162,7 @@
 // Guards against a server that is taken out by another one that uses its address.
 #[test]
 fn misdirected_request_tells_nothing_where_another_server_may_have_answered() {
-    let mut router = host("h1", &["a"]);
+    let mut router = host_before("h1", &["a"]);
     let mut other = server("other", KEYED, "east-a", 1);
     let holder = server("holder", KEYED, "east-a", 1);
     assert!(router.may_misdirect(&holder));
@@ -218,7 +189,9 @@
 fn late_requests(seed: u64) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let ids = ["a", "b", "c", "d"];
-    let mut hosts: Vec<Router> = (0..12).map(|n| host(&format!("h{n}"), &ids)).collect();
+    let mut hosts: Vec<Router> = (0..12)
+        .map(|n| host_before(&format!("h{n}"), &ids))
+        .collect();
     let mut servers: Vec<LeavingServer> = ids
         .iter()
         .map(|id| LeavingServer {
@@ -260,7 +233,7 @@
             0 => hosts[number].remove_server(at(now), &server.id),
             1 => hosts[number].upsert_server(at(now), server_entry(server)),
             2 => {
-                hosts[number] = host(&format!("h{number}"), &[]);
+                hosts[number] = host_before(&format!("h{number}"), &[]);
                 for server in &servers {
                     hosts[number].upsert_server(at(now), server_entry(server));
                 }
@@ -308,7 +281,10 @@
 
 #[test]
 fn departure_is_told_once_and_known_to_those_who_are_told() {
-    let (mut first, mut second) = (host("h1", &["a", "b"]), host("h2", &["a", "b"]));
+    let (mut first, mut second) = (
+        host_before("h1", &["a", "b"]),
+        host_before("h2", &["a", "b"]),
+    );
     let entry = server("a", "orders", "east-a", 1);
     first.record_signals(at(0), &entry, &leaving());
     first.record_signals(at(50), &entry, &leaving());
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    Config, Limits, Route, Router, RouterSettings, ServerEntry, Service, WeightedService,
+    Config, Limits, Route, Router, RouterSettings, RoutingSpan, RoutingTable, ServerEntry, Service,
+    WeightedService,
 };
 
 /// A service whose servers hold keys.
@@ -67,6 +69,35 @@
     Config::new(version, routes, services, Limits::default())
 }
 
+/// A host with the given servers of the service without keys, and the server `holder` that holds all
+/// keys of the other one.
+pub(crate) fn host_before(name: &str, ids: &[&str]) -> Router {
+    let mut router = router_of(name);
+    let routes = vec![
+        route("plain", "/o/", "orders"),
+        route("keyed", "/k/", KEYED),
+    ];
+    router.update_config(Arc::new(config(1, routes)));
+    router.set_hosts(1);
+    let mut entries: Vec<ServerEntry> = ids
+        .iter()
+        .map(|id| server(id, "orders", "east-a", 1))
+        .collect();
+    entries.push(server("holder", KEYED, "east-a", 1));
+    router.replace_servers(Time::ZERO, entries);
+    let span = RoutingSpan {
+        from: 0,
+        to: u16::MAX,
+        server: Some(Arc::from("holder")),
+    };
+    router.update_table(RoutingTable {
+        term: 1,
+        version: 1,
+        services: BTreeMap::from([(Arc::from(KEYED), vec![span])]),
+    });
+    router
+}
+
 /// A router of host `h1` in `east-a`, without configuration or servers.
 pub(crate) fn router() -> Router {
     router_of("h1")
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -319,6 +319,9 @@
         502 | 504 => counters.doubtful.add(),
         _ => counters.answered.add(),
     }
+    if response.refusal() == Some(RefusalCause::Paused) {
+        counters.paused.add();
+    }
     if response.status >= 400 {
         let detail = format!(
             "route {route}, {}, {}, after {} ms, configuration r{config_version} complete {} ms ago",
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -36,6 +36,8 @@
     refused = "requests_refused_total";
     /// Requests refused because of a limit that a server names.
     limited = "requests_limited_total";
+    /// Requests refused because servers have asked for a pause.
+    paused = "requests_paused_total";
     /// Requests passed on to other hosts, since this one reached no server.
     relayed = "requests_relayed_total";
     /// Requests to the leader for more than this host's share of a limit.
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -198,6 +198,7 @@
             config_age: self.copy_age(amaranthshunt_platform::CONFIG),
             store_era: self.store.era(),
             limited_servers: self.with_router(|router, _| router.rate_limit_count()) as u64,
+            paused_servers: self.with_router(|router, now| router.paused_count(now)) as u64,
             leaving_servers: self.with_router(|router, _| router.leaving_count()) as u64,
         };
         self.counters.to_text() + &gauges.to_text()
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -15,16 +15,19 @@
     pub(crate) limited_servers: u64,
     /// Servers that are known to leave.
     pub(crate) leaving_servers: u64,
+    /// Servers that have asked this host for a pause.
+    pub(crate) paused_servers: u64,
 }
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 5] = [
+    pub const NAMES: [&'static str; 6] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
         "amaranthshunt_store_era",
         "amaranthshunt_limited_servers",
         "amaranthshunt_leaving_servers",
+        "amaranthshunt_paused_servers",
     ];
 
     /// Every gauge in the Prometheus text format.
@@ -35,6 +38,7 @@
             u128::from(self.store_era),
             u128::from(self.limited_servers),
             u128::from(self.leaving_servers),
+            u128::from(self.paused_servers),
         ];
         let lines = Self::NAMES
             .iter()
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Why the host refused the request; `None` if it did not.
+    pub(crate) fn refusal(&self) -> Option<RefusalCause> {
+        self.refusal
+    }
+
     /// Adds what only another host needs to know about the response.
     #[must_use]
     pub(crate) fn for_host(mut self) -> Self {
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -55,6 +55,8 @@
             LimitSignal::Ended => LimitSignal::Unchanged,
             limit => limit,
         },
+        // A pause is meant for the host that the server has answered.
+        pause: None,
         ..signals
     };
     let start = head.headers.get(SERVER_START);
@@ -74,5 +76,5 @@
 }
 
 fn read(head: &ResponseHead) -> ServerSignals {
-    platform::read_signals(|name| head.headers.values(name).collect())
+    platform::read_signals(head.status, |name| head.headers.values(name).collect())
 }
