--- a/crates/core/src/front/granter/moves.rs
+++ b/crates/core/src/front/granter/moves.rs
@@ -42,10 +42,14 @@
             }
             let mut spans = Vec::new();
             let mut used = 0;
-            let mut from = 0;
+            let mut from: u32 = 0;
             for server in servers {
                 used += u64::from(server.entry.slots);
                 let end = (used * 65_536 / slots) as u32;
+                if end == from {
+                    // The server has too few of all slots for a single key.
+                    continue;
+                }
                 let target = server.entry.id.clone();
                 let stage = Stage::Recording {
                     target,
@@ -53,7 +57,7 @@
                 };
                 let to = (end - 1) as u16;
                 spans.push(Span {
-                    from,
+                    from: from as u16,
                     to,
                     holder: None,
                     free_at: now,
@@ -61,7 +65,7 @@
                     previous_server: None,
                     stage,
                 });
-                from = end as u16;
+                from = end;
             }
             self.services.insert(service.clone(), spans);
             self.record_outdated = true;
--- a/crates/core/src/front/load.rs
+++ b/crates/core/src/front/load.rs
@@ -57,7 +57,7 @@
     ///
     /// `weight` is that of the report against the estimate so far.
     pub fn record_report(&mut self, now: Time, report: LoadReport, typical: f64, weight: f64) {
-        let total = f64::from(report.running + report.waiting);
+        let total = f64::from(report.running) + f64::from(report.waiting);
         let remote_requests = (total - self.in_flight.len() as f64).max(0.0);
         let prior = self.decayed_remote(now, typical);
         self.remote_requests = prior + (remote_requests - prior) * weight;
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -1,5 +1,6 @@
 //! Routes requests to servers.
 
+mod entries;
 mod limits;
 mod reach;
 mod selection;
@@ -18,7 +19,7 @@
 use super::load::LoadReport;
 use super::placement::{RoutingSpan, RoutingTable};
 use super::retry_budget::RetryBudgetShare;
-use super::servers::{ServerChanges, ServerEntry, ServerState, Servers};
+use super::servers::Servers;
 use super::weighted_split::WeightedSplitter;
 use crate::ids::ServerKey;
 use crate::log::{EventCode, LogRecord};
@@ -29,8 +30,6 @@
 use settling::Settling;
 pub use types::{AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target};
 
-/// How long a server whose entry expired during a store outage has to register again.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(1_900);
 /// Weight of the latest answer in the baseline latency of its service.
 const BASELINE_WEIGHT: f64 = 0.03;
 /// Number of hosts from which a given server answers one of them so rarely that its last report says
@@ -55,6 +54,8 @@
     servers: Servers,
     /// Servers that are removed at the given time unless they register again.
     pending_removals: BTreeMap<Arc<str>, Time>,
+    /// Servers whose entries cannot be read, and when they are removed.
+    unreadable: BTreeMap<Arc<str>, Time>,
     evacuated: BTreeSet<String>,
     table: RoutingTable,
     hosts: usize,
@@ -93,6 +94,7 @@
             config: None,
             servers: Servers::default(),
             pending_removals: BTreeMap::new(),
+            unreadable: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             table: RoutingTable::default(),
             hosts: ASSUMED_HOSTS,
@@ -229,130 +231,6 @@
         }
     }
 
-    /// Applies the current store entry of a server.
-    pub fn upsert_server(&mut self, now: Time, entry: ServerEntry) {
-        if self.hold_back(now, &entry) {
-            return;
-        }
-        self.settling.record_arrival(&entry.id);
-        self.pending_removals.remove(&entry.id);
-        let service = self
-            .config
-            .as_ref()
-            .and_then(|config| config.services.get(&entry.service));
-        let warm_up = service
-            .map(|service| service.warm_up)
-            .filter(|_| self.initialized);
-        let (id, draining) = (entry.id.clone(), entry.draining);
-        let previous = self.servers.life(&id, entry.start_id);
-        let was_leaving = previous.is_some_and(ServerState::is_leaving);
-        let tie_break = tie_break(&self.settings.name, &id);
-        if self.servers.upsert(now, entry, warm_up, tie_break) && self.initialized {
-            self.log_event(EventCode::ServerBack, &*id, "");
-        }
-        if draining && !was_leaving {
-            self.log_event(EventCode::ServerDraining, &*id, "");
-        }
-    }
-
-    /// Handles the removal of a server's entry from the store.
-    ///
-    /// Entries expire while the store is down, and servers register again within two seconds of its
-    /// return, so a removal right after an outage takes effect only after that time.
-    pub fn remove_server(&mut self, now: Time, id: &str) {
-        self.settling.record_removal(id);
-        let Some(key) = self.servers.find(id) else {
-            return;
-        };
-        if self.reregistration_until > now {
-            let id = Arc::from(id);
-            self.pending_removals
-                .entry(id)
-                .or_insert(self.reregistration_until);
-            return;
-        }
-        self.drop_server(now, key, "entry removed from the store");
-    }
-
-    fn drop_server(&mut self, now: Time, key: ServerKey, reason: &str) {
-        let Some(state) = self.servers.get(key) else {
-            return;
-        };
-        let (id, start_id) = (state.entry.id.clone(), state.entry.start_id);
-        self.settling.record_departure(now, &id, start_id);
-        self.servers.remove(now, key);
-        self.log_event(EventCode::ServerGone, &*id, reason);
-    }
-
-    /// Replaces the complete list of servers; returns the differences to the previous one.
-    pub fn replace_servers(&mut self, now: Time, entries: Vec<ServerEntry>) -> ServerChanges {
-        let listed: BTreeSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let known = |id: &str| {
-            let key = self.servers.find(id)?;
-            self.servers.get(key).map(|state| &state.entry)
-        };
-        let is_changed = |entry: &ServerEntry| known(&entry.id) != Some(entry);
-        let changed = entries.iter().filter(|entry| is_changed(entry)).cloned();
-        let changed = changed.collect();
-        let servers = self.servers.iter();
-        let removed = servers
-            .map(|(_, state)| state.entry.id.clone())
-            .filter(|id| !listed.contains(id));
-        let changes = ServerChanges {
-            entries: changed,
-            removed: removed.collect(),
-        };
-        for entry in entries {
-            self.upsert_server(now, entry);
-        }
-        self.handle_missing(now, &changes.removed);
-        self.initialized = true;
-        changes
-    }
-
-    /// Applies changes to the list of servers.
-    pub fn apply_server_changes(&mut self, now: Time, changes: ServerChanges) {
-        for entry in changes.entries {
-            self.upsert_server(now, entry);
-        }
-        for id in &changes.removed {
-            self.remove_server(now, id);
-        }
-    }
-
-    /// Called after a failed store call, once the outage is so long that entries may have expired.
-    /// For `REREGISTRATION_GRACE` from now, servers that disappear from the store's list are kept, so
-    /// that they can register again.
-    pub fn extend_reregistration(&mut self, now: Time) {
-        self.allow_reregistration(now, REREGISTRATION_GRACE);
-    }
-
-    /// Allows missing entries to be registered again for the given time.
-    pub fn allow_reregistration(&mut self, now: Time, duration: Duration) {
-        self.reregistration_until = self.reregistration_until.max(now + duration);
-    }
-
-    /// Time for which missing entries may still be registered again.
-    pub fn reregistration_time(&self, now: Time) -> Duration {
-        self.reregistration_until.since(now)
-    }
-
-    /// Removes servers whose time to register again has passed, and applies what was held back after
-    /// a restore of the store.
-    pub fn tick(&mut self, now: Time) {
-        let due = self.pending_removals.iter().filter(|(_, at)| **at <= now);
-        let due: Vec<Arc<str>> = due.map(|(id, _)| id.clone()).collect();
-        for id in due {
-            self.pending_removals.remove(&id);
-            if let Some(key) = self.servers.find(&id) {
-                let reason = "entry not registered again after a store outage";
-                self.drop_server(now, key, reason);
-            }
-        }
-        self.servers.forget_retired(now);
-        self.end_settling(now);
-    }
-
     /// Records how an attempt ended, and the load that the server reported.
     pub fn record_outcome(
         &mut self,
@@ -385,7 +263,7 @@
             };
             state.load.record_report(now, report, typical, weight);
             if !keyed && has_many_hosts {
-                let total = f64::from(report.running + report.waiting);
+                let total = f64::from(report.running) + f64::from(report.waiting);
                 let others = (total - state.load.own_in_flight() as f64).max(0.0);
                 let mean = typical + (others - typical) * TYPICAL_LOAD_WEIGHT;
                 self.typical_loads
--- a/crates/core/src/front/router/settling.rs
+++ b/crates/core/src/front/router/settling.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{REREGISTRATION_GRACE, Router};
+use super::Router;
+use super::entries::REREGISTRATION_GRACE;
 use crate::front::servers::ServerEntry;
 use crate::time::Time;
 
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -62,12 +62,14 @@
     pub entries: Vec<ServerEntry>,
     /// Identifiers of removed entries.
     pub removed: Vec<Arc<str>>,
+    /// Identifiers of entries that cannot be read at present.
+    pub unreadable: Vec<Arc<str>>,
 }
 
 impl ServerChanges {
     /// Whether there are no changes.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty() && self.removed.is_empty()
+        self.entries.is_empty() && self.removed.is_empty() && self.unreadable.is_empty()
     }
 }
 
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -95,6 +95,16 @@
         (megabytes * RESPONSE_MEMORY_SHARE * 1e6) as usize
     }
 
+    /// Whether the host itself listens on an address.
+    pub fn is_own_address(&self, address: SocketAddr) -> bool {
+        let own = [
+            self.callers_address,
+            self.readiness_address,
+            self.peers_address(),
+        ];
+        own.contains(&address)
+    }
+
     /// Address on which the host listens for other hosts.
     pub fn peers_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_port)
--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -152,6 +152,9 @@
     RequestDoubtful = 1503, Warn, "request may have run";
 }
 
+/// Longest subject and longest detail of a line, in characters.
+const TEXT_LIMIT: usize = 1_000;
+
 /// A log record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LogRecord {
@@ -177,9 +180,16 @@
 impl fmt::Display for LogRecord {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let code = self.code;
-        write!(f, "E{} {}: {}", code.number(), code.text(), self.subject)?;
+        // Names and details may be texts of other programs, of any length.
+        let subject = &self.subject;
+        write!(
+            f,
+            "E{} {}: {subject:.TEXT_LIMIT$}",
+            code.number(),
+            code.text()
+        )?;
         if !self.detail.is_empty() {
-            write!(f, " ({})", self.detail)?;
+            write!(f, " ({:.TEXT_LIMIT$})", self.detail)?;
         }
         Ok(())
     }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -51,11 +51,16 @@
     }
 }
 
+/// The microseconds of a duration; the largest number for one that has more.
+fn whole_micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Add<Duration> for Time {
     type Output = Self;
 
     fn add(self, duration: Duration) -> Self {
-        Self(self.0.saturating_add(duration.as_micros() as u64))
+        Self(self.0.saturating_add(whole_micros(duration)))
     }
 }
 
@@ -63,7 +68,7 @@
     type Output = Self;
 
     fn sub(self, duration: Duration) -> Self {
-        Self(self.0.saturating_sub(duration.as_micros() as u64))
+        Self(self.0.saturating_sub(whole_micros(duration)))
     }
 }
 
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -84,7 +84,7 @@
         .map(|id| server(id, "orders", "east-a", 1))
         .collect();
     entries.push(server("holder", KEYED, "east-a", 1));
-    router.replace_servers(Time::ZERO, entries);
+    router.replace_servers(Time::ZERO, entries, &[]);
     let span = RoutingSpan {
         from: 0,
         to: u16::MAX,
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -10,6 +10,7 @@
 mod hot_keys;
 mod many_hosts;
 mod members;
+mod odd_entries;
 mod pauses;
 mod rate_limits;
 mod reach;
--- a/crates/core/tests/front/many_hosts.rs
+++ b/crates/core/tests/front/many_hosts.rs
@@ -63,7 +63,7 @@
             let mut router = router_of(&format!("h{number}"));
             router.update_config(config.clone());
             router.set_hosts(HOSTS);
-            router.replace_servers(Time::from_millis(1_000), entries.clone());
+            router.replace_servers(Time::from_millis(1_000), entries.clone(), &[]);
             router
         };
         let mut hosts: Vec<Router> = (0..HOSTS).map(host).collect();
--- a/crates/core/tests/front/rate_limits.rs
+++ b/crates/core/tests/front/rate_limits.rs
@@ -103,7 +103,7 @@
             entry_of_server.slots = 1_000;
             router.update_config(entry.clone());
             router.set_hosts(weights.len());
-            router.replace_servers(Time::from_millis(START_MS), vec![entry_of_server]);
+            router.replace_servers(Time::from_millis(START_MS), vec![entry_of_server], &[]);
             router.update_table(table.clone());
             router
         };
@@ -327,7 +327,7 @@
     router.set_hosts(1);
     let mut entry = server("o1", "orders", "east-a", start_id);
     entry.slots = 100;
-    router.replace_servers(now, vec![entry]);
+    router.replace_servers(now, vec![entry], &[]);
     let plan = router.plan(now, "shop", "/p/x").unwrap();
     let target = router
         .select_server(now, &plan, None, &[], 0, Duration::from_secs(2))
@@ -361,7 +361,7 @@
     name_limit(&mut router, &target, RateLimit::new(0.0));
     let mut reborn = server("o1", "orders", "east-a", 2);
     reborn.slots = 100;
-    router.replace_servers(Time::from_millis(START_MS + 50), vec![reborn]);
+    router.replace_servers(Time::from_millis(START_MS + 50), vec![reborn], &[]);
 
     // A late response of the earlier life says nothing about the present one.
     name_limit(&mut router, &target, RateLimit::new(0.0));
--- a/crates/core/tests/front/reach.rs
+++ b/crates/core/tests/front/reach.rs
@@ -20,7 +20,7 @@
     router.set_hosts(1);
     let domains = ["east-a", "east-b", "west-a"];
     let entries = (0..6).map(|index| server(&format!("s{index}"), "orders", domains[index / 2], 1));
-    router.replace_servers(at(0), entries.collect());
+    router.replace_servers(at(0), entries.collect(), &[]);
     router.record_connection(at(0));
     router
 }
--- a/crates/core/tests/front/restored_store.rs
+++ b/crates/core/tests/front/restored_store.rs
@@ -21,7 +21,7 @@
     let mut router = router();
     router.update_config(Arc::new(config(1, vec![route("plain", "/o/", "orders")])));
     router.set_hosts(1);
-    router.replace_servers(at(0), entries);
+    router.replace_servers(at(0), entries, &[]);
     router
 }
 
@@ -41,7 +41,7 @@
     let mut router = router_at_restore(vec![server("a", "orders", "east-a", 1)]);
 
     router.begin_settling(at(1_000));
-    router.replace_servers(at(1_000), Vec::new());
+    router.replace_servers(at(1_000), Vec::new(), &[]);
     let serves_at_once = serves(&mut router, at(1_500));
     router.tick(at(3_500));
 
@@ -57,7 +57,7 @@
     router.remove_server(at(500), "a");
 
     router.begin_settling(at(1_000));
-    router.replace_servers(at(1_000), vec![entry]);
+    router.replace_servers(at(1_000), vec![entry], &[]);
     router.tick(at(4_500));
     let is_back_early = router.servers().find("a").is_some();
     router.tick(at(5_500));
@@ -75,7 +75,7 @@
     let mut router = router_at_restore(vec![leaving]);
 
     router.begin_settling(at(1_000));
-    router.replace_servers(at(1_000), vec![ready.clone()]);
+    router.replace_servers(at(1_000), vec![ready.clone()], &[]);
     let serves_early = serves(&mut router, at(4_000));
     router.remove_server(at(4_200), "a");
     router.tick(at(5_500));
--- a/crates/core/tests/front/routes.rs
+++ b/crates/core/tests/front/routes.rs
@@ -108,7 +108,7 @@
     let mut home = route("r", "/", "orders");
     home.home_regions = vec!["east".to_owned()];
     router.update_config(Arc::new(config(1, vec![home])));
-    router.replace_servers(NOW, vec![server("w1", "orders", "west-a", 1)]);
+    router.replace_servers(NOW, vec![server("w1", "orders", "west-a", 1)], &[]);
     let plan = router.plan(Time::from_millis(1_000), "shop", "/x").unwrap();
 
     let refusal = router
--- a/crates/core/tests/front/servers.rs
+++ b/crates/core/tests/front/servers.rs
@@ -31,7 +31,7 @@
         ],
     )));
     router.set_hosts(1);
-    router.replace_servers(at(0), entries);
+    router.replace_servers(at(0), entries, &[]);
     router
 }
 
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -437,7 +437,10 @@
 async fn refresh_members(host: Arc<EntryHost>, leader: Arc<LeaderState>) {
     match list(&host, platform::HOSTS, Consistency::Strong).await {
         Ok((objects, _)) => {
-            let names = objects.into_iter().map(|object| object.name);
+            let hosts = objects
+                .into_iter()
+                .filter(|object| platform::read_host(&object.spec).is_ok());
+            let names = hosts.map(|object| object.name);
             lock(&leader.members).add_registered(names);
         }
         Err(error) => log::warn!("cannot read the list of hosts: {error}"),
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -241,6 +241,9 @@
     /// Whether `entries` and `domains` are all objects as of `to`, which `from` does not precede.
     #[prost(bool, tag = "9")]
     pub(crate) is_list: bool,
+    /// Identifiers of servers whose entries cannot be read at present.
+    #[prost(string, repeated, tag = "10")]
+    pub(crate) unreadable: Vec<String>,
 }
 
 /// A server's entry in the store.
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -3,7 +3,9 @@
 //! The leader watches the store and relays changes; other hosts watch it only while they do not
 //! receive changes in time. See `docs/platform-path.md`, "Store calls".
 
-use std::collections::{BTreeMap, BTreeSet};
+mod entries;
+
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
 use crate::entry_host::EntryHost;
 use crate::messages::{Body, EntryMessage, StoreUpdate};
 use crate::store::{StoreError, StoreResponse};
+use entries::{apply_server_changes, read_entries};
 
 /// The kinds of store objects that are followed.
 pub(crate) const KINDS: [Kind; 3] = [platform::CONFIG, platform::SERVERS, platform::EVACUATIONS];
@@ -213,9 +216,10 @@
     let mut servers = ServerChanges::default();
     let change = match kind {
         platform::SERVERS => {
-            let entries = objects.iter().filter_map(|object| read_entry(host, object));
-            let entries: Vec<ServerEntry> = entries.collect();
-            servers = host.with_router(|router, now| router.replace_servers(now, entries.clone()));
+            let (entries, unreadable) = read_entries(host, &objects);
+            servers = host.with_router(|router, now| {
+                router.replace_servers(now, entries.clone(), &unreadable)
+            });
             if is_new_era {
                 servers.entries = entries;
             }
@@ -225,15 +229,18 @@
             (must_relay || !servers.is_empty()).then_some(revision)
         }
         platform::CONFIG => {
-            for object in &objects {
+            let configs = objects
+                .iter()
+                .filter(|object| object.name == platform::CONFIG_NAME);
+            for object in configs {
                 apply_config(host, object);
             }
             let change = objects.iter().map(|object| object.revision).max();
             change.map(|number| StoreRevision::new(revision.era(), number))
         }
         _ => {
-            let domains: BTreeSet<String> =
-                objects.iter().map(|object| object.name.clone()).collect();
+            let names = objects.iter().map(|object| object.name.clone());
+            let domains: BTreeSet<String> = names.filter(|name| platform::is_name(name)).collect();
             let changed = host.with_router(|router, now| {
                 let changed = router.listed_evacuations() != &domains;
                 router.set_evacuated(now, domains);
@@ -321,7 +328,9 @@
     match kind {
         platform::SERVERS => servers = apply_server_changes(host, &changes),
         platform::CONFIG => {
-            for change in changes.iter().filter(|change| !change.deleted) {
+            let is_config =
+                |change: &&Change| !change.deleted && change.object.name == platform::CONFIG_NAME;
+            for change in changes.iter().filter(is_config) {
                 apply_config(host, &change.object);
             }
             change = changes
@@ -335,25 +344,6 @@
     Ok(Fetched::Complete)
 }
 
-/// Applies changes of servers' entries; returns the last one of each server.
-fn apply_server_changes(host: &EntryHost, changes: &[Change]) -> ServerChanges {
-    let mut last: BTreeMap<&str, Option<ServerEntry>> = BTreeMap::new();
-    for change in changes {
-        let entry = read_entry(host, &change.object).filter(|_| !change.deleted);
-        last.insert(&change.object.name, entry);
-    }
-    let mut servers = ServerChanges::default();
-    for (id, entry) in last {
-        match entry {
-            Some(entry) => servers.entries.push(entry),
-            None => servers.removed.push(Arc::from(id)),
-        }
-    }
-    let changes = servers.clone();
-    host.with_router(|router, now| router.apply_server_changes(now, changes));
-    servers
-}
-
 fn apply_evacuation_changes(host: &EntryHost, changes: &[Change]) {
     if changes.is_empty() {
         return;
@@ -364,7 +354,7 @@
             let name = &change.object.name;
             if change.deleted {
                 domains.remove(name);
-            } else {
+            } else if platform::is_name(name) {
                 domains.insert(name.clone());
             }
         }
@@ -391,6 +381,7 @@
         (domains, router.reregistration_time(now))
     });
     let removed = servers.removed.iter().map(|id| id.to_string());
+    let unreadable = servers.unreadable.iter().map(|id| id.to_string());
     leader.broadcast(Body::StoreUpdate(StoreUpdate {
         kind: index.unwrap_or_default() as u32,
         from: from.number(),
@@ -399,6 +390,7 @@
         is_list: from.era() != to.era(),
         entries: servers.entries.iter().map(EntryMessage::from).collect(),
         removed: removed.collect(),
+        unreadable: unreadable.collect(),
         domains,
         reregistration_ms: reregistration_time.as_millis() as u64,
     }));
@@ -442,12 +434,19 @@
         router.allow_reregistration(now, Duration::from_millis(update.reregistration_ms));
         if *kind == platform::SERVERS {
             let entries = update.entries.iter().filter_map(EntryMessage::to_entry);
+            let entries = entries.filter(|entry| !host.settings.is_own_address(entry.address));
             let entries: Vec<ServerEntry> = entries.collect();
+            let ids = |ids: &[String]| ids.iter().map(|id| Arc::from(&**id)).collect();
+            let unreadable: Vec<Arc<str>> = ids(&update.unreadable);
             if is_list {
-                router.replace_servers(now, entries);
+                router.replace_servers(now, entries, &unreadable);
             } else {
-                let removed = update.removed.iter().map(|id| Arc::from(&**id)).collect();
-                router.apply_server_changes(now, ServerChanges { entries, removed });
+                let changes = ServerChanges {
+                    entries,
+                    removed: ids(&update.removed),
+                    unreadable,
+                };
+                router.apply_server_changes(now, changes);
             }
         } else {
             let domains: BTreeSet<String> = update.domains.into_iter().collect();
@@ -456,16 +455,6 @@
     });
 }
 
-fn read_entry(host: &EntryHost, object: &StoreObject) -> Option<ServerEntry> {
-    match platform::read_server(object) {
-        Ok(entry) => Some(entry),
-        Err(message) => {
-            host.log(EventCode::ObjectUnreadable, &object.name, message);
-            None
-        }
-    }
-}
-
 fn apply_config(host: &EntryHost, object: &StoreObject) {
     match platform::read_config(&object.spec) {
         Ok(config) => {
--- /dev/null
+++ b/crates/front/src/watch/entries.rs
@@ -0,0 +1,67 @@
+//! Reads the servers' entries, each of which may be of another writer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use amaranthshunt_core::front::{ServerChanges, ServerEntry};
+use amaranthshunt_core::log::EventCode;
+use amaranthshunt_platform::{self as platform, Change, StoreObject};
+
+use crate::entry_host::EntryHost;
+
+/// Applies changes of servers' entries; returns the last one of each server.
+pub(super) fn apply_server_changes(host: &EntryHost, changes: &[Change]) -> ServerChanges {
+    // Names that no server can have are not relayed either: they may be of any length.
+    let last: BTreeMap<&str, &Change> = changes
+        .iter()
+        .filter(|change| platform::is_name(&change.object.name))
+        .map(|change| (change.object.name.as_str(), change))
+        .collect();
+    let mut servers = ServerChanges::default();
+    for (id, change) in last {
+        if change.deleted {
+            servers.removed.push(Arc::from(id));
+        } else if let Some(entry) = read_entry(host, &change.object) {
+            servers.entries.push(entry);
+        } else {
+            servers.unreadable.push(Arc::from(id));
+        }
+    }
+    let changes = servers.clone();
+    host.with_router(|router, now| router.apply_server_changes(now, changes));
+    servers
+}
+
+/// The entries that can be read, and the names of the others.
+pub(super) fn read_entries(
+    host: &EntryHost,
+    objects: &[StoreObject],
+) -> (Vec<ServerEntry>, Vec<Arc<str>>) {
+    let mut entries = Vec::new();
+    let mut unreadable = Vec::new();
+    for object in objects {
+        match read_entry(host, object) {
+            Some(entry) => entries.push(entry),
+            None if platform::is_name(&object.name) => {
+                unreadable.push(Arc::from(object.name.as_str()));
+            }
+            None => {}
+        }
+    }
+    (entries, unreadable)
+}
+
+fn read_entry(host: &EntryHost, object: &StoreObject) -> Option<ServerEntry> {
+    match platform::read_server(object) {
+        Ok(entry) if host.settings.is_own_address(entry.address) => {
+            let detail = "it has an address of this host";
+            host.log(EventCode::ObjectUnreadable, &object.name, detail);
+            None
+        }
+        Ok(entry) => Some(entry),
+        Err(message) => {
+            host.log(EventCode::ObjectUnreadable, &object.name, message);
+            None
+        }
+    }
+}
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod faulty_responses;
 mod leaving_servers;
+mod odd_entries;
 mod pauses;
 mod restored_store;
 mod server_limit;
--- a/crates/host/tests/platform/site.rs
+++ b/crates/host/tests/platform/site.rs
@@ -228,6 +228,7 @@
 pub(crate) struct SecondHost {
     pub(crate) store: FaultProxy,
     pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
     pub(crate) child: Child,
     pub(crate) folder: PathBuf,
 }
@@ -254,6 +255,7 @@
     let host = SecondHost {
         store,
         callers,
+        ready,
         child,
         folder,
     };
--- a/crates/support/src/serve.rs
+++ b/crates/support/src/serve.rs
@@ -1,12 +1,18 @@
 //! An HTTP server that can be stopped as abruptly as a killed process.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use async_std::net::TcpListener;
 use async_std::task;
 use futures::future::{AbortHandle, Abortable};
 
+/// Time within which an aborted server releases its address.
+const RELEASE_TIME: Duration = Duration::from_millis(1_000);
+const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Abort handles of the tasks of a running server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tasks {
@@ -36,6 +42,20 @@
     }
 }
 
+/// Binds an address; waits for an aborted server at the same address, whose listener closes only when
+/// its task runs.
+async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let end = Instant::now() + RELEASE_TIME;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < end => {
+                task::sleep(RELEASE_POLL_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Serves an application on an address until `tasks` is aborted.
 pub(crate) async fn serve<S>(
     address: SocketAddr,
@@ -45,7 +65,7 @@
 where
     S: Clone + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = bind(address).await?;
     let connections = tasks.clone();
     tasks.spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
