Soak: servers that leave, ask for pauses, and odd entries, checked from the server's side

The soak had no server that said anything of itself but a limit, and none that left for good. Servers now say that they leave in responses, in the store, or both, and end some seconds later; their next life starts when faults are cleared. Others turn requests away with a time to come back, some of it odd, and another program overwrites entries with odd ones.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,8 +6,9 @@
 use amaranthshunt_support::platform::Execution;
 
 use crate::callers::{RequestKind, RequestResult};
-use crate::deployment::{Deployment, Server};
+use crate::deployment::Deployment;
 use crate::disturbances::CONTACT_TIME;
+use crate::server::Server;
 
 /// Time after its acknowledgement in which a configuration must be in force.
 const CONFIG_DELAY: Duration = Duration::from_millis(2_500);
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -18,6 +18,7 @@
 
 use crate::callers::Connections;
 use crate::disturbances::Disturbances;
+use crate::server::Server;
 
 /// The failure domains and their regions.
 pub(crate) const DOMAINS: [(&str, &str); 4] = [
@@ -143,6 +144,12 @@
         self.process_disturbances.are_past(at) && self.link_disturbances.are_past(at)
     }
 
+    /// Whether the process ended, started, was paused or was stopping at any time between `from` and
+    /// `to`.
+    pub(crate) fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        self.process_disturbances.overlap(from, to)
+    }
+
     /// Whether the process was paused at any time between `from` and `to`.
     pub(crate) fn was_paused(&self, from: Instant, to: Instant) -> bool {
         self.pauses.overlap(from, to)
@@ -168,53 +175,6 @@
     }
 }
 
-/// A fake server and the proxy in front of it.
-pub(crate) struct Server {
-    pub(crate) upstream: FakeUpstream,
-    pub(crate) proxy: FaultProxy,
-    pub(crate) is_up: bool,
-    /// Limits that it has named.
-    pub(crate) limits: Vec<NamedLimit>,
-    /// Faults of the links to it.
-    pub(crate) disturbances: Disturbances,
-}
-
-/// A limit that a server names for some time.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct NamedLimit {
-    /// Requests per second.
-    pub(crate) per_second: f64,
-    pub(crate) named: Instant,
-    /// When it ended; `None` while it lasts.
-    pub(crate) ended: Option<Instant>,
-}
-
-impl Server {
-    /// Sets the fault of the links to the server.
-    pub(crate) fn set_link_fault(&mut self, fault: LinkFault) {
-        self.proxy.set_fault(fault);
-        match fault {
-            LinkFault::None => self.disturbances.end(),
-            _ => self.disturbances.begin(),
-        }
-    }
-
-    /// Lets the server name a limit, or none.
-    pub(crate) fn set_limit(&mut self, per_second: Option<f64>) {
-        let now = Instant::now();
-        if let Some(limit) = self.limits.last_mut() {
-            limit.ended.get_or_insert(now);
-        }
-        let text = per_second.map(|number| number.to_string());
-        self.upstream.set_limit(text.as_deref());
-        self.limits.extend(per_second.map(|per_second| NamedLimit {
-            per_second,
-            named: now,
-            ended: None,
-        }));
-    }
-}
-
 /// All hosts, servers and the store of a run.
 pub(crate) struct Deployment {
     pub(crate) hosts: Vec<HostProcess>,
@@ -282,13 +242,7 @@
         };
         let upstream =
             FakeUpstream::start(options, self.store.clone(), self.recorder.clone()).await?;
-        self.servers.push(Server {
-            upstream,
-            proxy,
-            is_up: true,
-            limits: Vec::new(),
-            disturbances: Disturbances::default(),
-        });
+        self.servers.push(Server::new(upstream, proxy));
         Ok(())
     }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::deployment::{DOMAINS, Deployment};
 
@@ -21,7 +21,7 @@
     let server = rng.random_range(0..deployment.servers.len());
     let name = deployment.hosts[host].name.clone();
     let id = deployment.servers[server].upstream.options().id.clone();
-    match rng.random_range(0..26) {
+    match rng.random_range(0..34) {
         0..=1 => {
             deployment.hosts[host].signal(Signal::KILL);
             format!("{name}: SIGKILL")
@@ -60,14 +60,42 @@
             "store: change history dropped".to_owned()
         }
         10..=11 if deployment.servers[server].is_up => {
-            deployment.servers[server].set_limit(None);
-            deployment.servers[server].upstream.crash();
-            deployment.servers[server].is_up = false;
+            deployment.servers[server].crash();
             format!("{id}: crash")
         }
-        12 => {
-            deployment.servers[server].upstream.set_draining(true);
-            format!("{id}: draining")
+        12 | 24..=26 if deployment.servers[server].is_up => {
+            let (in_responses, in_store) =
+                [(true, false), (true, true), (false, true)][rng.random_range(0..3)];
+            let time = Duration::from_millis(rng.random_range(4_000..12_000));
+            deployment.servers[server].leave(in_responses, in_store, time);
+            let ways = match (in_responses, in_store) {
+                (true, false) => "in its responses only",
+                (false, _) => "in the store only",
+                _ => "in its responses and the store",
+            };
+            format!(
+                "{id}: leaves, says so {ways}, ends in {} ms",
+                time.as_millis()
+            )
+        }
+        27..=29 if deployment.servers[server].is_up => {
+            let times = ["0.3", "1.5", "3", "6", "0", "-1", "soon"];
+            let time = times[rng.random_range(0..times.len())];
+            deployment.servers[server]
+                .upstream
+                .set_retry_after(Some(time));
+            format!("{id}: turns requests away, Retry-After: {time}")
+        }
+        30..=31 => {
+            let spec = random_odd_value(rng);
+            let name = if rng.random() {
+                deployment.servers[server].note_odd_entry();
+                id
+            } else {
+                format!("odd-{}", rng.random_range(0..4))
+            };
+            deployment.store.put("servers", &name, spec, Value::Null);
+            format!("{name}: odd entry in the store")
         }
         13..=14 => {
             let faults = [
@@ -119,6 +147,21 @@
     }
 }
 
+/// A value of an entry that another program may have written.
+fn random_odd_value(rng: &mut SmallRng) -> Value {
+    let nested = (0..2_000).fold(Value::Null, |inner, _| Value::Array(vec![inner]));
+    let info = json!({ "Service": "orders", "Version": "v1", "Zone": "east-a", "Slots": 0 });
+    let values = [
+        Value::Null,
+        json!({ "Address": nested }),
+        json!({ "Address": "127.0.0.1:70000", "born": u64::MAX, "Info": info }),
+        json!({ "Address": "127.0.0.1:0", "born": -1.5, "Info": { "Slots": u64::MAX } }),
+        json!({ "Address": "x".repeat(100_000), "Info": info }),
+    ];
+    let number = rng.random_range(0..values.len());
+    values[number].clone()
+}
+
 fn random_link_fault(rng: &mut SmallRng) -> LinkFault {
     let faults = [
         LinkFault::BlocksAll,
@@ -138,13 +181,8 @@
     for server in &mut deployment.servers {
         server.set_link_fault(LinkFault::None);
         server.upstream.set_fault(UpstreamFault::None);
-        server.set_limit(None);
-        if server.is_up {
-            server.upstream.set_draining(false);
-        } else if let Err(error) = server.upstream.restart().await {
+        if let Err(error) = server.recover().await {
             eprintln!("cannot start {}: {error}", server.upstream.options().id);
-        } else {
-            server.is_up = true;
         }
     }
     for process in &mut deployment.hosts {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,8 @@
 mod faults;
 mod report;
 mod run;
+mod server;
+mod signals;
 
 pub use report::Report;
 pub use run::{Size, run_soak};
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -7,6 +7,7 @@
 use crate::callers::{RequestKind, RequestResult};
 use crate::checks::{exceeded_limits, outdated_configuration};
 use crate::deployment::{DOMAINS, Deployment, ROUTE_TIMEOUT_MS};
+use crate::signals::ignored_signals;
 
 /// Time past a route's timeout within which a caller must have its answer; leaves room for a busy
 /// machine.
@@ -60,6 +61,8 @@
         let all_executions = deployment.recorder.executions();
         let limits = exceeded_limits(deployment, &all_executions, results);
         self.findings.extend(limits);
+        let signals = ignored_signals(deployment, results);
+        self.findings.extend(signals.into_iter().take(MAX_SHOWN));
         let mut executions: BTreeMap<String, Vec<String>> = BTreeMap::new();
         for execution in all_executions {
             executions
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 use crate::deployment::Deployment;
 use crate::faults::{clear_faults, inject_random_fault, restart_ended_hosts};
 use crate::report::Report;
+use crate::server::Server;
 
 /// Time before the first fault, in which everything starts.
 const STARTUP_TIME: Duration = Duration::from_secs(9);
@@ -90,6 +91,7 @@
             last_restart = now;
             restart_ended_hosts(&mut deployment, program);
         }
+        deployment.servers.iter_mut().for_each(Server::tick);
         if now >= started + STARTUP_TIME / 2 {
             number += 1;
             spawn_request(&deployment, &mut rng, &results, seed, number);
--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -187,7 +187,8 @@
         format!("{}/{}", self.options.id, lock(&self.state).incarnation)
     }
 
-    fn publish(&self) {
+    /// Writes the server's entry to the store.
+    pub fn publish(&self) {
         let mut state = lock(&self.state);
         state.sequence += 1;
         let options = &self.options;
