--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -294,7 +294,7 @@
     let result = task::block_on(run_soak(
         Path::new(PROGRAM),
         7,
-        Duration::from_secs(6),
+        Duration::from_secs(30),
         Size::Small,
     ));
 
--- a/crates/host/tests/platform/stranded_host.rs
+++ b/crates/host/tests/platform/stranded_host.rs
@@ -129,3 +129,27 @@
         assert_eq!(site.site.recorder.violations(), Vec::new());
     });
 }
+
+// Guards against DRAIN: a host that had passed on a helper's response of a leaving server sent requests
+// there itself, once it reached servers again.
+#[test]
+fn host_learns_from_a_helpers_response_that_a_server_leaves() {
+    task::block_on(async {
+        let site = CutSite::start("stranded-leaving", false).await;
+        site.set_links(LinkFault::Refuse);
+        task::sleep(CONTACT_TIME).await;
+        site.site.server("orders-0").set_leaving(Some("1"));
+        let told = site.count_served(&site.cut_host, "told").await;
+
+        site.set_links(LinkFault::None);
+        task::sleep(CONTACT_TIME).await;
+        site.count_served(&site.cut_host, "late").await;
+
+        assert!(told > REQUESTS, "{told} served, so none without a key");
+        let arrivals = site.site.recorder.arrivals();
+        let late = arrivals
+            .iter()
+            .filter(|arrival| arrival.request.starts_with("latep"));
+        assert_eq!(late.count(), 0);
+    });
+}
