An attempt has a type of its own in the proxy

What its outcome says of the server and what follows from it took eight arguments; both are methods of Attempt now, in a file of its own. A server that is probed after a pause is trusted again by a success only, not by any answer: a 503 without 'not run' counted as one.

--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -274,13 +274,13 @@
         let id = state.entry.id.clone();
         match outcome {
             AttemptOutcome::Answered { success } => {
-                state.record_execution();
                 state.load.record_latency(now, latency, baseline);
                 let new_baseline =
                     baseline.mul_f64(1.0 - BASELINE_WEIGHT) + latency.mul_f64(BASELINE_WEIGHT);
                 self.baseline_latencies
                     .insert(target.entry.service.clone(), new_baseline);
                 if success {
+                    state.record_execution();
                     state.record_success();
                 } else if state.record_failure(now) {
                     self.log_event(
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Proxies one request to a server, with retries.
 
+mod attempt;
 mod relay;
 mod send;
 
@@ -8,9 +9,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{
-    AttemptOutcome, LoadReport, RefusalCause, RoutePlan, RouteRefusal, Target,
-};
+use amaranthshunt_core::front::{RefusalCause, RoutePlan, RouteRefusal};
 use amaranthshunt_core::ids::ServerKey;
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
@@ -18,12 +17,12 @@
 use crate::allowances::ask_allowance;
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::{RequestHead, ResponseHead};
-use crate::messages::MissingKey;
+use crate::http::RequestHead;
 use crate::response::Response;
+use attempt::{Attempt, NextStep};
 use relay::relay;
 pub(crate) use relay::{REFUSAL, SENDS, SERVER, SERVER_START};
-use send::{SendResult, send};
+use send::send;
 
 /// Minimum time that must remain until the deadline for an attempt to start.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
@@ -103,15 +102,6 @@
     }
 }
 
-/// What to do after an attempt.
-enum NextStep {
-    Done(Response),
-    /// The server did not run the request.
-    NotRun(RouteRefusal),
-    /// The server may have run the request: response status and log detail.
-    MayHaveRun(u16, String),
-}
-
 /// Sends a request to servers until it has a final response.
 pub(crate) async fn serve(host: Arc<EntryHost>, request: Arc<Request>) -> Response {
     let mut attempts = Attempts::default();
@@ -157,14 +147,9 @@
         if attempts.sends > 0 {
             host.counters.retries.add();
         }
-        let running = RunningGuard {
-            host: &host,
-            target: &target,
-            ended: false,
-        };
+        let attempt = Attempt::new(&host, &request, &target);
         let result = send(&host, &request, &target).await;
-        let step = evaluate_attempt(&host, &request, &target, result, running, &mut attempts);
-        match step {
+        match attempt.evaluate(result, &mut attempts) {
             NextStep::Done(response) => return response,
             NextStep::NotRun(refusal) => attempts.refusal = Some(refusal),
             NextStep::MayHaveRun(status, detail) => {
@@ -239,164 +224,3 @@
         }
     }
 }
-
-/// Counts a request as running at a server until it has ended or its task is dropped.
-struct RunningGuard<'a> {
-    host: &'a EntryHost,
-    target: &'a Target,
-    ended: bool,
-}
-
-impl RunningGuard<'_> {
-    fn finish(mut self, outcome: AttemptOutcome, report: Option<LoadReport>) {
-        self.ended = true;
-        self.host
-            .with_router(|router, now| router.record_outcome(now, self.target, outcome, report));
-    }
-}
-
-impl Drop for RunningGuard<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            let outcome = AttemptOutcome::Abandoned;
-            self.host
-                .with_router(|router, now| router.record_outcome(now, self.target, outcome, None));
-        }
-    }
-}
-
-fn evaluate_attempt(
-    host: &EntryHost,
-    request: &Request,
-    target: &Target,
-    result: SendResult,
-    running: RunningGuard<'_>,
-    attempts: &mut Attempts,
-) -> NextStep {
-    let server = &target.entry.id;
-    match result {
-        SendResult::Response(head, body, report) => {
-            attempts.sends += 1;
-            evaluate_response(
-                host, request, target, &head, body, report, running, attempts,
-            )
-        }
-        SendResult::Withdrawn => {
-            running.finish(AttemptOutcome::Abandoned, None);
-            NextStep::NotRun(RouteRefusal {
-                cause: RefusalCause::NoServer,
-                retry_after: Some(Duration::from_millis(200)),
-            })
-        }
-        SendResult::Unreachable => {
-            running.finish(AttemptOutcome::Unreachable, None);
-            attempts.unreachable += 1;
-            attempts.avoided.push(target.server);
-            NextStep::NotRun(RouteRefusal {
-                cause: RefusalCause::NoServer,
-                retry_after: Some(Duration::from_millis(200)),
-            })
-        }
-        SendResult::Pointless(cause) => {
-            running.finish(AttemptOutcome::Abandoned, None);
-            NextStep::Done(attempts.final_response(RouteRefusal {
-                cause,
-                retry_after: None,
-            }))
-        }
-        SendResult::Saturated => {
-            running.finish(AttemptOutcome::Saturated, None);
-            attempts.unreachable += 1;
-            attempts.avoided.push(target.server);
-            NextStep::NotRun(RouteRefusal {
-                cause: RefusalCause::Busy,
-                retry_after: Some(Duration::from_millis(200)),
-            })
-        }
-        SendResult::Lost(error) => {
-            running.finish(AttemptOutcome::Lost, None);
-            host.pool.close_idle_connections(&target.entry);
-            attempts.sends += 1;
-            attempts.avoided.push(target.server);
-            NextStep::MayHaveRun(502, format!("{server}: {error}"))
-        }
-        SendResult::TimedOut => {
-            running.finish(AttemptOutcome::Lost, None);
-            host.pool.close_idle_connections(&target.entry);
-            attempts.sends += 1;
-            NextStep::Done(Response::generated(
-                504,
-                None,
-                &format!("unknown: {server} did not answer in time"),
-            ))
-        }
-    }
-}
-
-#[allow(clippy::too_many_arguments)]
-fn evaluate_response(
-    host: &EntryHost,
-    request: &Request,
-    target: &Target,
-    head: &ResponseHead,
-    body: Bytes,
-    report: Option<LoadReport>,
-    running: RunningGuard<'_>,
-    attempts: &mut Attempts,
-) -> NextStep {
-    let server = &target.entry.id;
-    let misdirected = head.status == 421;
-    if misdirected || head.headers.contains(platform::NOT_EXECUTED) {
-        attempts.avoided.push(target.server);
-        let outcome = if misdirected {
-            AttemptOutcome::Misdirected
-        } else {
-            AttemptOutcome::NotRun
-        };
-        running.finish(outcome, report);
-        if misdirected && request.plan.keyed {
-            attempts.misdirected = true;
-            if let Some(key) = request.shard_key() {
-                let service = request.plan.service.to_string();
-                host.note_missing_key(MissingKey {
-                    service,
-                    key: u32::from(key),
-                    server: server.to_string(),
-                });
-            }
-        }
-        let retry_after = Some(Duration::from_millis(150));
-        let cause = if misdirected {
-            RefusalCause::NoOwner
-        } else {
-            RefusalCause::Busy
-        };
-        return NextStep::NotRun(RouteRefusal { cause, retry_after });
-    }
-    let success = (200..300).contains(&head.status);
-    let is_unmodified = head.headers.contains(platform::UPSTREAM_SIGNATURE)
-        && !head.headers.contains("content-encoding");
-    if success && !is_unmodified {
-        running.finish(AttemptOutcome::Lost, report);
-        attempts.avoided.push(target.server);
-        return NextStep::MayHaveRun(
-            502,
-            format!("{server} sent an unsigned or re-encoded response"),
-        );
-    }
-    running.finish(
-        AttemptOutcome::Answered {
-            success: head.status < 500,
-        },
-        report,
-    );
-    // These statuses claim that nothing ran, but the server did not confirm it with a header.
-    let claims_not_run = matches!(head.status, 408 | 429 | 503);
-    if claims_not_run
-        || (head.status >= 500 && request.plan.route.idempotent && attempts.sends == 1)
-    {
-        attempts.avoided.push(target.server);
-        return NextStep::MayHaveRun(502, format!("{server} responded with {}", head.status));
-    }
-    NextStep::Done(Response::forwarded(head, body, request.is_bodiless()).made_by(&target.entry))
-}
