Heartbeats name only departures that no entry tells; one word for a limit's uncertain end

A departure that the store's entry tells reaches all hosts with the entry, so repeating it in heartbeats costs bytes between regions for nothing. Late and relayed responses share LimitSignal::without_end.

--- a/crates/core/src/front/router/signals.rs
+++ b/crates/core/src/front/router/signals.rs
@@ -73,11 +73,12 @@
         departures
     }
 
-    /// The listed servers that have been known since `since` or later to leave.
+    /// The listed servers that have been known since `since` or later to leave, but for those whose
+    /// entries say so.
     pub fn departures(&self, since: Time) -> Vec<Departure> {
         let leaving = self.servers.iter().filter(|(_, state)| {
             let known_since = state.leaving_since();
-            known_since.is_some_and(|known_since| known_since >= since)
+            !state.entry.draining && known_since.is_some_and(|known_since| known_since >= since)
         });
         leaving
             .map(|(_, state)| Departure::from(&state.entry))
--- a/crates/core/src/front/server_signals.rs
+++ b/crates/core/src/front/server_signals.rs
@@ -37,6 +37,18 @@
     Ended,
 }
 
+impl LimitSignal {
+    /// What remains of the signal where the response may be older than others: that a limit has ended
+    /// is not certain then.
+    #[must_use]
+    pub fn without_end(self) -> Self {
+        match self {
+            Self::Ended => Self::Unchanged,
+            signal => signal,
+        }
+    }
+}
+
 /// A life of a server that is about to end, as hosts tell each other.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Departure {
--- a/crates/front/src/signals.rs
+++ b/crates/front/src/signals.rs
@@ -3,7 +3,7 @@
 //! Every head of a server is read here, whatever becomes of the response: it may be late, rejected or
 //! without anyone to get it.
 
-use amaranthshunt_core::front::{LimitSignal, LoadReport, ServerEntry, ServerSignals};
+use amaranthshunt_core::front::{LoadReport, ServerEntry, ServerSignals};
 use amaranthshunt_platform as platform;
 
 use crate::entry_host::EntryHost;
@@ -31,8 +31,8 @@
     answered: Answered,
 ) -> Option<LoadReport> {
     let mut signals = read(head);
-    if answered == Answered::Earlier && signals.limit == LimitSignal::Ended {
-        signals.limit = LimitSignal::Unchanged;
+    if answered == Answered::Earlier {
+        signals.limit = signals.limit.without_end();
     }
     host.with_router(|router, now| {
         let is_own = head.status != MISDIRECTED || router.may_misdirect(entry);
@@ -51,10 +51,7 @@
     };
     let signals = read(head);
     let signals = ServerSignals {
-        limit: match signals.limit {
-            LimitSignal::Ended => LimitSignal::Unchanged,
-            limit => limit,
-        },
+        limit: signals.limit.without_end(),
         // A pause is meant for the host that the server has answered.
         pause: None,
         ..signals
