An older report does not bring back a limit that has ended

Cause: a host that had not heard yet that a server's limit of zero had ended named it to the leader, here with its request for an allowance. The leader took it for news (E1315 at 26.6 s, E1314 at 27.3 s), moved the keys away and told that there is nothing to count out, so that nobody sent a request whose response would have shown the end. The class: reports are applied in the order in which they arrive.

Why this works: a report tells how old the response is, and an older one than is known is ignored. A host that asks for a request under a limit that has ended gets it, and its response shows the end. Hosts of earlier versions send no age, which counts as none, as before.

--- a/crates/core/src/front/router/limits.rs
+++ b/crates/core/src/front/router/limits.rs
@@ -32,20 +32,35 @@
     pub start_id: Option<u64>,
     /// The limit; `None` if it has ended.
     pub limit: Option<RateLimit>,
+    /// Time since the response.
+    pub age: Duration,
 }
 
 impl Router {
     /// Records the limit that a response of a server named; `None` if it named none.
-    pub(super) fn record_rate_limit(&mut self, entry: &ServerEntry, limit: Option<RateLimit>) {
+    pub(super) fn record_rate_limit(
+        &mut self,
+        now: Time,
+        entry: &ServerEntry,
+        limit: Option<RateLimit>,
+    ) {
         let Some(state) = self.servers.life_mut(&entry.id, entry.start_id) else {
             return;
         };
         state.limit_observed |= limit.is_some() || state.rate_limit.is_some();
+        state.limit_seen = now;
         self.set_rate_limit(&entry.id, entry.start_id, limit);
     }
 
-    /// Applies what another host has observed.
-    pub fn apply_rate_limit(&mut self, report: &RateLimitReport) {
+    /// Applies what another host has observed, unless something later is known: a limit that has ended
+    /// would come back otherwise, and a limit of zero for good.
+    pub fn apply_rate_limit(&mut self, now: Time, report: &RateLimitReport) {
+        let seen = now - report.age;
+        let state = self.servers.life_mut(&report.server, report.start_id);
+        let Some(state) = state.filter(|state| state.limit_seen <= seen) else {
+            return;
+        };
+        state.limit_seen = seen;
         self.set_rate_limit(&report.server, report.start_id, report.limit);
     }
 
@@ -68,14 +83,14 @@
     }
 
     /// Returns what this host has observed since the last call.
-    pub fn take_rate_limit_reports(&mut self) -> Vec<RateLimitReport> {
+    pub fn take_rate_limit_reports(&mut self, now: Time) -> Vec<RateLimitReport> {
         let keys: Vec<ServerKey> = self.servers.iter().map(|(key, _)| key).collect();
         let mut reports = Vec::new();
         for key in keys {
             if let Some(state) = self.servers.get_mut(key)
                 && std::mem::take(&mut state.limit_observed)
             {
-                reports.push(state.limit_report());
+                reports.push(state.limit_report(now));
             }
         }
         reports
@@ -109,7 +124,7 @@
         let id = self.table.owner(&plan.service, key?)?;
         let state = self.servers.get(self.servers.find(id)?)?;
         let may_ask = plan.keyed && self.hears_shares(now) && state.exhausted_until <= now;
-        (may_ask && state.rate_limit.is_some()).then(|| state.limit_report())
+        (may_ask && state.rate_limit.is_some()).then(|| state.limit_report(now))
     }
 
     /// The limit of a server and its service.
@@ -186,11 +201,12 @@
 }
 
 impl ServerState {
-    fn limit_report(&self) -> RateLimitReport {
+    fn limit_report(&self, now: Time) -> RateLimitReport {
         RateLimitReport {
             server: self.entry.id.clone(),
             start_id: self.entry.start_id,
             limit: self.rate_limit,
+            age: now.since(self.limit_seen),
         }
     }
 
--- a/crates/core/src/front/router/signals.rs
+++ b/crates/core/src/front/router/signals.rs
@@ -46,8 +46,8 @@
         }
         match signals.limit {
             LimitSignal::Unchanged => {}
-            LimitSignal::Named(limit) => self.record_rate_limit(entry, Some(limit)),
-            LimitSignal::Ended => self.record_rate_limit(entry, None),
+            LimitSignal::Named(limit) => self.record_rate_limit(now, entry, Some(limit)),
+            LimitSignal::Ended => self.record_rate_limit(now, entry, None),
         }
     }
 
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -88,6 +88,8 @@
     pub cold_limiter: RateShareLimiter,
     /// The limit that it has named in its last response, if that named one.
     pub rate_limit: Option<RateLimit>,
+    /// When the response was received that tells of the limit or its end.
+    pub(super) limit_seen: Time,
     /// Limit on requests while it names one.
     pub rate_limiter: RateShareLimiter,
     /// Requests beyond this host's own share that the leader has counted out, and until when they
@@ -127,6 +129,7 @@
             presumed_cold_until: Time::ZERO,
             cold_limiter: RateShareLimiter::default(),
             rate_limit: None,
+            limit_seen: Time::ZERO,
             rate_limiter: RateShareLimiter::default(),
             allowance: (0, Time::ZERO),
             exhausted_until: Time::ZERO,
--- a/crates/core/tests/front/rate_limits.rs
+++ b/crates/core/tests/front/rate_limits.rs
@@ -376,20 +376,60 @@
     let (mut leader, ..) = host_with_server(1);
     name_limit(&mut observer, &target, RateLimit::new(2.5));
 
-    let reports = observer.take_rate_limit_reports();
-    let again = observer.take_rate_limit_reports();
-    leader.apply_rate_limit(&reports[0]);
-    leader.apply_rate_limit(&RateLimitReport {
-        start_id: Some(0),
-        limit: None,
-        ..reports[0].clone()
-    });
+    let reports = observer.take_rate_limit_reports(target.sent);
+    let again = observer.take_rate_limit_reports(target.sent);
+    leader.apply_rate_limit(target.sent, &reports[0]);
+    leader.apply_rate_limit(
+        target.sent,
+        &RateLimitReport {
+            start_id: Some(0),
+            limit: None,
+            ..reports[0].clone()
+        },
+    );
 
     assert_eq!((reports.len(), again.len()), (1, 0));
     let (limit, _) = leader.rate_limit("o1").unwrap();
     assert_eq!(limit.per_second(), 2.5);
 }
 
+// Guards against a server that gets no requests for good: a host that had not heard yet that its limit of
+// zero had ended told the leader of it once more, and the leader moved its keys away.
+#[test]
+fn older_report_does_not_bring_back_a_limit_that_has_ended() {
+    let (mut observer, _, target) = host_with_server(1);
+    let (mut leader, ..) = host_with_server(1);
+    name_limit(&mut observer, &target, RateLimit::new(0.0));
+    name_limit(&mut leader, &target, RateLimit::new(0.0));
+    let later = target.sent + Duration::from_secs(3);
+    let signals = ServerSignals {
+        limit: LimitSignal::Ended,
+        ..ServerSignals::default()
+    };
+    leader.record_signals(later, &target.entry, &signals);
+
+    let reported = later + Duration::from_millis(600);
+    for report in observer.take_rate_limit_reports(reported) {
+        leader.apply_rate_limit(reported, &report);
+    }
+    let outdated = leader.rate_limit_count();
+    name_limit(&mut observer, &target, None);
+    observer.record_signals(
+        reported,
+        &target.entry,
+        &ServerSignals {
+            limit: LimitSignal::Named(RateLimit::new(2.0).unwrap()),
+            ..ServerSignals::default()
+        },
+    );
+    for report in observer.take_rate_limit_reports(reported) {
+        leader.apply_rate_limit(reported, &report);
+    }
+
+    assert_eq!(outdated, 0);
+    assert_eq!(leader.rate_limit_count(), 1, "a later report counts");
+}
+
 #[test]
 fn part_of_a_limit_is_left_to_more_urgent_requests() {
     let (mut router, plan, target) = host_with_server(1);
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -165,7 +165,9 @@
         server: &Arc<str>,
     ) -> AllowanceReply {
         let Some((limit, service)) = router.rate_limit(server) else {
-            return Err(Duration::ZERO);
+            // The limit has ended, and the response to the request will tell the host that asks.
+            let is_known = router.servers().find(server).is_some();
+            return is_known.then_some(()).ok_or(Duration::ZERO);
         };
         if !self.may_send_orders(now) {
             return Err(Duration::ZERO);
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -365,6 +365,9 @@
     /// Requests per second; missing if the limit has ended.
     #[prost(double, optional, tag = "3")]
     pub(crate) per_second: Option<f64>,
+    /// Milliseconds since the response that tells it.
+    #[prost(uint64, tag = "4")]
+    pub(crate) age_ms: u64,
 }
 
 impl From<RateLimitReport> for LimitMessage {
@@ -373,6 +376,7 @@
             server: report.server.to_string(),
             born: report.start_id,
             per_second: report.limit.map(RateLimit::per_second),
+            age_ms: report.age.as_millis() as u64,
         }
     }
 }
@@ -383,6 +387,7 @@
             server: Arc::from(message.server),
             start_id: message.born,
             limit: message.per_second.and_then(RateLimit::new),
+            age: Duration::from_millis(message.age_ms),
         }
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -136,9 +136,9 @@
     if limits.is_empty() {
         return;
     }
-    host.with_router(|router, _| {
+    host.with_router(|router, now| {
         for limit in limits {
-            router.apply_rate_limit(&RateLimitReport::from(limit));
+            router.apply_rate_limit(now, &RateLimitReport::from(limit));
         }
     });
 }
@@ -287,7 +287,7 @@
         missing: host.take_missing_keys(),
         term: host.with_router(|router, _| router.table().term),
         limits: host
-            .with_router(|router, _| router.take_rate_limit_reports())
+            .with_router(|router, now| router.take_rate_limit_reports(now))
             .into_iter()
             .map(LimitMessage::from)
             .collect(),
