Soak: the pause of a process that is killed lasts until it has ended

By its logs the next process, started 2.5 s after the signal, answered them after 0 ms; callers' connections had waited in the full queue of the old one, which the machine had not ended yet. The check took the pause for ended when the signal was sent. No other case is passed over.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -108,11 +108,8 @@
                 self.end_pause();
                 self.process_disturbances.end();
             }
-            Signal::KILL => {
-                self.end_pause();
-                self.process_disturbances.begin();
-            }
-            Signal::TERM => self.process_disturbances.begin(),
+            // A paused process that is killed may exist for a while; its pause ends with it.
+            Signal::KILL | Signal::TERM => self.process_disturbances.begin(),
             _ => {}
         }
     }
