Add searches with planned stops and wrong answers to the review's stand-ins

`stops` stops hosts in turn while clients use kept connections, and looks for LOST. `answers` spoils a quarter of the upstreams' answers in one of 16 ways, and looks for MIXED, TWICE and REFUSED.

--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they share.
 
+mod answers;
 mod bodies;
 mod chaos;
 mod cold;
@@ -8,6 +9,7 @@
 mod partitions;
 mod poison;
 mod regions;
+mod stops;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -28,6 +30,7 @@
 /// The case with a name.
 pub fn find(name: &str) -> Option<Case> {
     match name {
+        "answers" => Some(answers::run),
         "bodies" => Some(bodies::run),
         "chaos" => Some(chaos::run),
         "cold" => Some(cold::run),
@@ -36,6 +39,7 @@
         "partitions" => Some(partitions::run),
         "poison" => Some(poison::run),
         "regions" => Some(regions::run),
+        "stops" => Some(stops::run),
         _ => None,
     }
 }
--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -52,12 +52,8 @@
         }
     }
 
-    fn exchange(&self, to: SocketAddr) -> Option<Message> {
-        let stream = TcpStream::connect(to).ok()?;
-        stream
-            .set_read_timeout(Some(self.deadline + Duration::from_millis(500)))
-            .ok()?;
-        let mut wire = Wire::new(stream);
+    /// The request as a message.
+    pub fn message(&self) -> Message {
         let mut request = Message {
             start: format!("{} {} HTTP/1.1", self.method, self.path),
             ..Message::default()
@@ -69,7 +65,16 @@
         if let Some(key) = self.key {
             request = request.with("Shard-Key", key.to_string());
         }
-        wire.write(&request).ok()?;
+        request
+    }
+
+    fn exchange(&self, to: SocketAddr) -> Option<Message> {
+        let stream = TcpStream::connect(to).ok()?;
+        stream
+            .set_read_timeout(Some(self.deadline + Duration::from_millis(500)))
+            .ok()?;
+        let mut wire = Wire::new(stream);
+        wire.write(&self.message()).ok()?;
         wire.read().ok()?
     }
 }
--- a/review/harness/src/host.rs
+++ b/review/harness/src/host.rs
@@ -118,6 +118,12 @@
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Waits until a request is served.
     pub fn wait_until_serving(&self, call: &Call, limit: Duration) -> bool {
         let end = Instant::now() + limit;
