--- a/review/harness/src/cases/answers.rs
+++ b/review/harness/src/cases/answers.rs
@@ -62,7 +62,7 @@
         }
         11 => (format!("HTTP/1.1 503 No\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes(), true),
         12 => (format!("HTTP/1.1 429 No\r\nRequest-Id: {id}\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n").into_bytes(), true),
-        13 => (format!("HTTP/1.1 503 No\r\nRequest-Id: other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n").into_bytes(), false),
+        13 => (b"HTTP/1.1 503 No\r\nRequest-Id: other\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_vec(), false),
         14 => (format!("{head}Content-Length: 9\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes(), false),
         _ => (format!("{head}Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n{body}", body.len()).into_bytes(), false),
     }
--- a/review/harness/src/host.rs
+++ b/review/harness/src/host.rs
@@ -4,31 +4,37 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
 use crate::client::Call;
+use crate::upstream::lock;
 
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/amaranthshunt";
 /// Memory of a machine, in MB.
 pub const MEMORY_MB: u64 = 260;
 
-/// The processes that this one has started and that run.
-static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The processes that this one has started.
+static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
 
-/// Ends all processes that were started, by their identifiers.
+/// Ends all processes that were started.
 pub fn end_all() {
-    let running = RUNNING.lock().unwrap_or_else(|error| error.into_inner());
-    for id in running.iter() {
-        let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
+    for child in lock(&STARTED).drain(..) {
+        end(&child);
     }
 }
 
+fn end(child: &Mutex<Child>) {
+    let mut child = lock(child);
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 /// The zones of the deployment and their regions.
 pub const ZONES: [(&str, &str); 3] = [
     ("mvd-a", "montevideo"),
@@ -46,7 +52,7 @@
     zone: usize,
     store: SocketAddr,
     folder: PathBuf,
-    child: Option<Child>,
+    child: Option<Arc<Mutex<Child>>>,
 }
 
 impl Host {
@@ -88,40 +94,36 @@
             .stdout(log)
             .stderr(Stdio::null());
         let child = command.spawn().expect("the program of the deploy file");
-        RUNNING.lock().expect("no panic").push(child.id());
+        let child = Arc::new(Mutex::new(child));
+        lock(&STARTED).push(child.clone());
         self.child = Some(child);
     }
 
     /// Kills the process, if it runs.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let id = child.id();
-            let _ = child.kill();
-            let _ = child.wait();
-            RUNNING
-                .lock()
-                .unwrap_or_else(|error| error.into_inner())
-                .retain(|other| *other != id);
+        if let Some(child) = self.child.take() {
+            end(&child);
+            lock(&STARTED).retain(|other| !Arc::ptr_eq(other, &child));
         }
     }
 
     /// Identifier of the process; 0 if it does not run.
     pub fn process(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
+        self.child.as_ref().map_or(0, |child| lock(child).id())
     }
 
     /// Resident memory of the process, in KiB; `None` if it does not run.
     pub fn memory_kib(&self) -> Option<u64> {
-        let id = self.child.as_ref()?.id();
+        let id = lock(self.child.as_ref()?).id();
         let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
     /// Whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    pub fn is_running(&self) -> bool {
+        let child = self.child.as_ref();
+        child.is_some_and(|child| matches!(lock(child).try_wait(), Ok(None)))
     }
 
     /// Waits until a request is served.
