--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod store_revision;
 mod transit_delay;
+mod voters;
 mod weighted_split;
 
 pub use admission::{Admission, Overload};
--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -11,7 +11,7 @@
 mod replies;
 mod span;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 use super::admission::Overload;
 use super::balance::KeyRates;
 use super::placement::{KeySpan, Placement, RoutingSpan, RoutingTable};
+use super::voters::Voters;
 use crate::ids::CallId;
 use crate::log::{EventCode, LogRecord};
 use crate::time::Time;
@@ -30,9 +31,6 @@
 const TERM_SHIFT: u32 = 24;
 /// Interval at which the load of a service is rebalanced.
 const REBALANCE_INTERVAL: Duration = Duration::from_millis(400);
-/// Time after which a granter that a majority of the hosts does not follow assumes that the others
-/// are gone.
-const MAJORITY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Delay before a failed order is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -67,8 +65,15 @@
     unanswered_grants: Vec<UnansweredGrant>,
     /// When this host was last confirmed to be the leader.
     confirmed_at: Time,
+    /// When the record in the store last confirmed it.
+    recorded_at: Time,
+    /// When a server last rejected a grant because of a higher token, unless the record has confirmed
+    /// this host since.
+    fenced_at: Option<Time>,
     started: Time,
-    /// Since when a majority of the hosts has followed this one.
+    voters: Voters,
+    /// Since when no earlier granter can be confirmed any more, because a majority of the voters follows
+    /// this one.
     majority_since: Option<Time>,
     last_call: u64,
     last_fence: u64,
@@ -90,7 +95,16 @@
     /// Servers in the record may hold their keys under an earlier granter for as long as that one
     /// could still renew leases, plus the duration of a lease. If the record is of an earlier era of
     /// the store than `era`, so may any other server.
-    pub fn new(now: Time, record: &Placement, era: u64, timing: GranterTiming) -> Self {
+    ///
+    /// `written_from` is the time from which on the record may have been written.
+    pub fn new(
+        now: Time,
+        written_from: Time,
+        record: &Placement,
+        era: u64,
+        timing: GranterTiming,
+    ) -> Self {
+        let voters = Voters::new(now, record.voters.clone(), record.lists_all_holders(era));
         let mut granter = Self {
             timing,
             term: record.term,
@@ -102,9 +116,12 @@
             holders_unknown: !record.lists_all_holders(era),
             key_rates: BTreeMap::new(),
             unanswered_grants: Vec::new(),
-            confirmed_at: now,
+            confirmed_at: written_from,
+            recorded_at: written_from,
+            fenced_at: None,
             started: now,
-            majority_since: None,
+            majority_since: voters.is_empty().then_some(now),
+            voters,
             last_call: 0,
             last_fence: 0,
             next_version: record.version + 1,
@@ -143,6 +160,7 @@
             confirmed,
             inherited: true,
             token_accepted: false,
+            accepted_since: None,
             pending_call: None,
             pending_outdated: false,
             next_grant: now,
@@ -194,14 +212,53 @@
         &self.overloads
     }
 
-    /// Records that this host was the leader at the time `at`.
-    pub fn confirm(&mut self, at: Time) {
-        self.confirmed_at = self.confirmed_at.max(at);
+    /// Records that the record named this host in its own term when it was read or written, at the time
+    /// `at`.
+    pub fn confirm_by_record(&mut self, at: Time) {
+        self.fenced_at = self.fenced_at.filter(|fenced_at| at <= *fenced_at);
+        self.recorded_at = self.recorded_at.max(at);
+        if self.fenced_at.is_none() {
+            self.confirmed_at = self.confirmed_at.max(at);
+        }
     }
 
-    /// Records that a majority of the hosts, including this one, follows this one.
-    pub fn record_majority(&mut self, now: Time) {
-        self.majority_since.get_or_insert(now);
+    /// Records the last reply of each follower, as the time of the heartbeat that it answers; returns
+    /// until when a majority has confirmed this host. `known` is the number of all known hosts.
+    ///
+    /// After a server has rejected a token, only the record tells whether there is a later leader.
+    pub fn confirm_by_hosts(
+        &mut self,
+        now: Time,
+        replies: &BTreeMap<String, Time>,
+        known: usize,
+    ) -> Option<Time> {
+        self.voters.record_replies(replies);
+        let reply = self.majority_reply(now, replies, known)?;
+        if reply > self.started {
+            self.majority_since.get_or_insert(now);
+        }
+        if self.fenced_at.is_some() {
+            return None;
+        }
+        self.confirmed_at = self.confirmed_at.max(reply);
+        Some(reply)
+    }
+
+    /// The latest time at which a majority of the hosts, this one included, knew of no later leader;
+    /// `None` if too few follow.
+    pub fn majority_reply(
+        &self,
+        now: Time,
+        replies: &BTreeMap<String, Time>,
+        known: usize,
+    ) -> Option<Time> {
+        self.voters
+            .majority_reply(now, &self.leader, replies, known)
+    }
+
+    /// Time since the record last confirmed this host.
+    pub fn record_age(&self, now: Time) -> Duration {
+        now.since(self.recorded_at)
     }
 
     /// Whether an earlier granter can certainly send no more orders.
@@ -209,27 +266,32 @@
     /// Until then it may grant keys to a server that has restarted, which no longer knows the
     /// higher token of this granter.
     fn predecessor_silenced(&self, now: Time) -> bool {
-        now >= self.takeover_complete_at() + self.timing.silence_after_confirmation()
+        let silence = self.timing.silence_after_confirmation();
+        self.takeover_complete_at()
+            .is_some_and(|complete_at| now >= complete_at + silence)
     }
 
-    /// When a majority began to follow this granter, or when it stops waiting for that.
-    fn takeover_complete_at(&self) -> Time {
-        self.majority_since
-            .unwrap_or(self.started + MAJORITY_TIMEOUT)
+    /// From when on no earlier granter is confirmed any more, if that is known.
+    ///
+    /// Hosts that do not answer may be gone, or cut off together with an earlier leader that they
+    /// confirm. Without the store, that leader stops by itself, unless it is of an earlier version.
+    fn takeover_complete_at(&self) -> Option<Time> {
+        let is_bounded = self.voters.is_listed();
+        let bound = is_bounded.then(|| self.started + self.timing.storeless_limit);
+        self.majority_since.into_iter().chain(bound).min()
     }
 
     /// Whether every lease of an earlier granter has certainly expired.
-    ///
-    /// A granter that has lost the store continues while a majority of the hosts follows it, so
-    /// keys are taken from a silent server only after a majority follows this one. Hosts that are
-    /// gone permanently must not delay this forever.
     fn predecessor_expired(&self, now: Time) -> bool {
-        now >= self.takeover_complete_at() + self.timing.max_lease_after_confirmation()
+        let lease = self.timing.max_lease_after_confirmation();
+        self.takeover_complete_at()
+            .is_some_and(|complete_at| now >= complete_at + lease)
     }
 
     /// Whether this host may issue orders.
     pub fn is_confirmed(&self, now: Time) -> bool {
         now.since(self.confirmed_at) < self.timing.confirmation_timeout
+            && now.since(self.recorded_at) < self.timing.storeless_limit
     }
 
     /// Adds the number of requests per key that a host received.
@@ -275,15 +337,19 @@
                 self.rebalance(now, cluster, service);
             }
         }
+        if self.majority_since.is_some() && self.voters.propose(now, &self.leader) {
+            self.record_outdated = true;
+        }
         self.write_record(now);
         self.update_table();
         std::mem::take(&mut self.orders)
     }
 
     /// Records that a version of the record was written.
-    pub fn mark_written(&mut self, version: u64) {
+    pub fn mark_written(&mut self, now: Time, version: u64) {
         self.written_version = self.written_version.max(version);
         self.write_pending = false;
+        self.voters.mark_written(now, version);
     }
 
     /// Whether a version of the record, or a later one, was written.
@@ -315,7 +381,8 @@
         self.write_pending = true;
         self.record_outdated = false;
         self.move_ended = None;
-        self.build_record(version)
+        let voters = self.voters.list_for(version);
+        self.build_record(version, voters)
     }
 
     /// Whether finished moves should be removed from the record.
@@ -326,7 +393,7 @@
         is_due && !self.services.values().flatten().any(Span::is_moving)
     }
 
-    fn build_record(&self, version: u64) -> Placement {
+    fn build_record(&self, version: u64, voters: Option<BTreeSet<String>>) -> Placement {
         let spans = |spans: &Vec<Span>| {
             let spans = spans.iter().map(|span| {
                 let current = span.holder.as_ref().map(|holder| holder.server.clone());
@@ -351,6 +418,7 @@
                 .map(|(name, list)| (name.clone(), spans(list)))
                 .collect(),
             complete_era: self.complete_era,
+            voters,
         }
     }
 
--- a/crates/core/src/front/granter/era.rs
+++ b/crates/core/src/front/granter/era.rs
@@ -42,6 +42,7 @@
         self.table.term = record.term;
         self.table.version += 1;
         self.majority_since = Some(now);
+        self.fenced_at = None;
         let mut last_fence = self.last_fence;
         for span in self.services.values_mut().flatten() {
             if let Some(holder) = &mut span.holder {
@@ -62,6 +63,6 @@
             }
         }
         self.last_fence = last_fence;
-        self.mark_written(record.version);
+        self.mark_written(now, record.version);
     }
 }
--- a/crates/core/src/front/granter/moves.rs
+++ b/crates/core/src/front/granter/moves.rs
@@ -82,7 +82,9 @@
         match span.stage.clone() {
             Stage::Held => return self.renew_or_move(now, cluster, service, span),
             Stage::Recording { target, version } => {
-                let may_release = span.holder.is_none() || self.predecessor_silenced(now);
+                let may_release = span.holder.as_ref().is_none_or(|holder| {
+                    self.predecessor_silenced(now) || self.has_fenced_predecessor(now, holder)
+                });
                 if self.written_version >= version && may_release {
                     span.stage = match &span.holder {
                         Some(_) => Stage::Releasing {
@@ -128,11 +130,62 @@
                 self.move_ended = Some(now);
                 return self.renew_or_move(now, cluster, service, span);
             }
+            Stage::Expiring { target, at, .. } if at <= now => {
+                if let Some(holder) = &mut span.holder {
+                    holder.fence = self.new_fence_token();
+                    holder.token_accepted = false;
+                    holder.accepted_since = None;
+                    span.stage = Stage::Silent { target };
+                }
+            }
             Stage::Expiring { .. } => {}
+            Stage::Silent { target } => {
+                return self.ask_silent_holder(now, cluster, service, span, target);
+            }
         }
         vec![span]
     }
 
+    /// Whether an earlier granter can certainly not grant the keys of a holder any more, even if its
+    /// followers still confirm it.
+    ///
+    /// The holder rejects its tokens. If that granter has sent one meanwhile, it is confirmed no longer;
+    /// if it could not, it has given the holder up.
+    fn has_fenced_predecessor(&self, now: Time, holder: &Holder) -> bool {
+        let since = holder.accepted_since;
+        since.is_some_and(|since| now >= since + self.timing.max_lease_after_confirmation())
+    }
+
+    /// Asks a holder that has not answered for its lease whether it accepts a grant; one that does keeps
+    /// the keys. Otherwise they move once no earlier granter can renew its lease any more.
+    fn ask_silent_holder(
+        &mut self,
+        now: Time,
+        cluster: ClusterState<'_>,
+        service: &Arc<str>,
+        mut span: Span,
+        target: Arc<str>,
+    ) -> Vec<Span> {
+        let Some(mut holder) = span.holder.take() else {
+            return vec![span];
+        };
+        if holder.token_accepted {
+            span.holder = Some(holder);
+            span.stage = Stage::Held;
+            self.record_outdated = true;
+            return self.renew_or_move(now, cluster, service, span);
+        }
+        if holder.pending_call.is_none() {
+            if self.predecessor_expired(now) {
+                span.stage = Stage::expiring(target, holder.latest_expiry);
+            } else if holder.next_grant + self.timing.renewal_interval <= now {
+                self.send_grant(now, cluster, &span, &mut holder);
+            }
+        }
+        span.holder = Some(holder);
+        vec![span]
+    }
+
     fn new_holder(
         &mut self,
         now: Time,
@@ -148,6 +201,7 @@
             confirmed: false,
             inherited: false,
             token_accepted: false,
+            accepted_since: None,
             pending_call: None,
             pending_outdated: false,
             next_grant: now,
--- a/crates/core/src/front/granter/order.rs
+++ b/crates/core/src/front/granter/order.rs
@@ -27,6 +27,9 @@
     pub expiry_margin: Duration,
     /// Time after the last change until finished moves are removed from the record.
     pub cleanup_delay: Duration,
+    /// Time without a confirmation by the record in the store after which nothing is granted any more,
+    /// however many hosts follow.
+    pub storeless_limit: Duration,
 }
 
 impl GranterTiming {
--- a/crates/core/src/front/granter/replies.rs
+++ b/crates/core/src/front/granter/replies.rs
@@ -28,6 +28,7 @@
         {
             holder.fence = fence;
             holder.token_accepted = false;
+            holder.accepted_since = None;
             holder.confirmed = false;
             holder.next_grant = now;
         }
@@ -108,14 +109,15 @@
             }
         }
         if let Some(server) = fenced {
-            // Another host may be the leader; no orders are issued until this host is confirmed
-            // again.
+            // Another host may be the leader; no orders are issued until the record confirms this host
+            // again. Its followers need not know of the other one.
             self.log(
                 EventCode::Fenced,
                 &server,
                 "grant rejected; no orders until confirmed as granting host",
             );
             self.confirmed_at = Time::ZERO;
+            self.fenced_at = Some(now);
         }
     }
 }
--- a/crates/core/src/front/granter/span.rs
+++ b/crates/core/src/front/granter/span.rs
@@ -20,6 +20,8 @@
     pub(super) inherited: bool,
     /// Whether the server has accepted the current fence token.
     pub(super) token_accepted: bool,
+    /// Since when it has accepted tokens of this granter, without interruption.
+    pub(super) accepted_since: Option<Time>,
     pub(super) pending_call: Option<CallId>,
     /// Whether the pending call has the token of an earlier term.
     pub(super) pending_outdated: bool,
@@ -39,6 +41,7 @@
         self.pending_outdated = self.pending_call.is_some();
         self.fence = fence;
         self.token_accepted = false;
+        self.accepted_since = None;
         self.inherited = true;
         self.next_grant = now;
     }
@@ -63,6 +66,7 @@
                 if !std::mem::take(&mut self.pending_outdated) {
                     self.next_grant = sent + timing.renewal_interval;
                     self.token_accepted = true;
+                    self.accepted_since.get_or_insert(now);
                     self.inherited = false;
                 }
                 self.failed_grants = 0;
@@ -81,6 +85,7 @@
         }
         self.pending_outdated = false;
         self.token_accepted = false;
+        self.accepted_since = None;
         self.fence = fence;
     }
 }
@@ -109,6 +114,10 @@
         /// Whether nobody holds the keys after that time, even if another granter is active.
         released: bool,
     },
+    /// The holder's lease has run out, unless an earlier granter still renews it.
+    Silent {
+        target: Arc<str>,
+    },
 }
 
 impl Stage {
@@ -148,7 +157,8 @@
             Stage::Held => self.holder.as_ref().map(|holder| &holder.server),
             Stage::Recording { target, .. }
             | Stage::Releasing { target, .. }
-            | Stage::Expiring { target, .. } => Some(target),
+            | Stage::Expiring { target, .. }
+            | Stage::Silent { target } => Some(target),
         }
     }
 
--- a/crates/core/src/front/placement.rs
+++ b/crates/core/src/front/placement.rs
@@ -1,6 +1,6 @@
 //! Assignment of keys to servers, as stored and as used for routing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -32,6 +32,9 @@
     /// The era of the store of which the record lists all holders of keys. In a later era, moves
     /// that the store has lost may be missing. `None` if a version without eras wrote the record.
     pub complete_era: Option<u64>,
+    /// The hosts of which more than half confirm the leader and its successors, until one of these has
+    /// written other ones. `None` if a version without such lists wrote the record.
+    pub voters: Option<BTreeSet<String>>,
 }
 
 impl Placement {
@@ -60,6 +63,7 @@
             address,
             services: self.services.clone(),
             complete_era,
+            voters: self.voters.clone(),
         }
     }
 }
--- a/crates/core/tests/front/grants.rs
+++ b/crates/core/tests/front/grants.rs
@@ -47,6 +47,13 @@
     check_seeds(run_seed);
 }
 
+// Guards against OWNER: a leader that its region cuts off with most of the hosts goes on granting keys,
+// and another one took them for gone after 20 s.
+#[test]
+fn no_key_has_two_holders_while_regions_lose_each_other() {
+    check_seeds(|seed| run_to_recovery(random_sim(seed).with_region_cuts(seed)));
+}
+
 // Guards against OWNER: after the store was restored, a leader took its own older record for that of
 // another one, and its successor granted keys by it that had moved in the lost seconds.
 #[test]
--- a/crates/core/tests/front/hot_keys.rs
+++ b/crates/core/tests/front/hot_keys.rs
@@ -45,6 +45,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             services: BTreeMap::new(),
             complete_era: Some(1),
+            voters: Some(BTreeSet::new()),
         };
         let timing = GranterTiming {
             lease: Duration::from_secs(4),
@@ -53,6 +54,7 @@
             order_timeout: Duration::from_millis(800),
             expiry_margin: Duration::from_millis(300),
             cleanup_delay: Duration::from_secs(1),
+            storeless_limit: Duration::from_secs(3_600),
         };
         let mut servers = Servers::default();
         for number in 0..SERVERS {
@@ -60,7 +62,13 @@
             servers.upsert(Time::from_millis(1_000), entry, None, 0.0);
         }
         let mut deployment = Self {
-            granter: Granter::new(Time::from_millis(1_000), &record, 1, timing),
+            granter: Granter::new(
+                Time::from_millis(1_000),
+                Time::from_millis(1_000),
+                &record,
+                1,
+                timing,
+            ),
             servers,
             now: 1_000,
             replies: BTreeMap::new(),
@@ -87,8 +95,7 @@
         for (call, reply) in self.replies.remove(&self.now).unwrap_or_default() {
             self.granter.handle_reply(now, call, now, reply);
         }
-        self.granter.confirm(now);
-        self.granter.record_majority(now);
+        self.granter.confirm_by_record(now);
         let config = config(1, Vec::new());
         let baselines = BTreeMap::from([(Arc::from(KEYED), WORK)]);
         let evacuated = BTreeSet::new();
@@ -103,7 +110,7 @@
                 Order::Grant { call, .. } => (call, 2 * STEP_MS),
                 Order::Release { call, .. } => (call, RELEASE_MS),
                 Order::Write(placement) => {
-                    self.granter.mark_written(placement.version);
+                    self.granter.mark_written(now, placement.version);
                     continue;
                 }
                 Order::Log(_) => continue,
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -18,3 +18,4 @@
 mod routes;
 mod servers;
 mod sim;
+mod voters;
--- a/crates/core/tests/front/odd_entries.rs
+++ b/crates/core/tests/front/odd_entries.rs
@@ -35,6 +35,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         services: BTreeMap::new(),
         complete_era: Some(1),
+        voters: Some(BTreeSet::new()),
     };
     let timing = GranterTiming {
         lease: Duration::from_secs(4),
@@ -43,8 +44,9 @@
         order_timeout: Duration::from_secs(1),
         expiry_margin: Duration::from_millis(300),
         cleanup_delay: Duration::from_secs(1),
+        storeless_limit: Duration::from_secs(3_600),
     };
-    let mut granter = Granter::new(at(0), &record, 1, timing);
+    let mut granter = Granter::new(at(0), at(0), &record, 1, timing);
     let config = config(1, Vec::new());
     let cluster = ClusterState {
         servers: &servers,
--- a/crates/core/tests/front/sim.rs
+++ b/crates/core/tests/front/sim.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod hosts;
 mod orders;
+mod region_cut;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 
 use crate::fixture::KEYED;
 use backend::Backend;
+use region_cut::RegionCut;
 
 /// Length of a step.
 const STEP_MS: u64 = 10;
@@ -40,6 +42,7 @@
     order_timeout: Duration::from_millis(ORDER_TIMEOUT_MS),
     expiry_margin: Duration::from_millis(300),
     cleanup_delay: Duration::from_millis(3_000),
+    storeless_limit: Duration::from_millis(30_000),
 };
 
 /// An entry host.
@@ -121,8 +124,14 @@
     server_partitions: BTreeSet<(usize, usize)>,
     faults_enabled: bool,
     late_execution: bool,
+    /// Whether leaders tell the other hosts, earlier leaders among them, that they lead.
+    announces: bool,
     /// Whether the store is restored from copies at random times.
     store_restores: bool,
+    /// Draws of the cuts between regions, if there are any: own ones, so that the other faults of a
+    /// seed stay as they were.
+    cut_rng: Option<SmallRng>,
+    region_cut: Option<RegionCut>,
     /// The first violation found.
     pub(crate) violation: Option<String>,
 }
@@ -172,7 +181,10 @@
             server_partitions: BTreeSet::new(),
             faults_enabled: true,
             late_execution: false,
+            announces: seed.is_multiple_of(2),
             store_restores: false,
+            cut_rng: None,
+            region_cut: None,
             violation: None,
         };
         sim.late_execution = sim.rng.random_bool(0.5);
@@ -188,6 +200,12 @@
         self
     }
 
+    /// Lets regions lose each other at random times, mostly for longer than all leases last.
+    pub(crate) fn with_region_cuts(mut self, seed: u64) -> Self {
+        self.cut_rng = Some(SmallRng::seed_from_u64(!seed));
+        self
+    }
+
     /// Runs with faults for the given time, in milliseconds, or until a violation is found.
     pub(crate) fn run(&mut self, millis: u64) {
         self.run_for(millis);
@@ -200,6 +218,7 @@
         self.store_up = true;
         self.host_partitions.clear();
         self.server_partitions.clear();
+        self.region_cut = None;
         for entry in &mut self.entry_hosts {
             entry.store_reachable = true;
         }
@@ -250,6 +269,7 @@
             self.now += STEP_MS;
             if self.faults_enabled {
                 self.inject_fault();
+                self.change_region_cut();
             }
             self.restart_due_processes();
             self.deliver();
@@ -315,11 +335,7 @@
                 break;
             }
             match delivery {
-                Delivery::Entries { host }
-                    if !self.is_frozen(host)
-                        && self.store_up
-                        && self.entry_hosts[host].store_reachable =>
-                {
+                Delivery::Entries { host } if !self.is_frozen(host) && self.reaches_store(host) => {
                     self.read_entries(host);
                 }
                 Delivery::Entries { host } => self.push(200, Delivery::Entries { host }),
--- a/crates/core/tests/front/sim/hosts.rs
+++ b/crates/core/tests/front/sim/hosts.rs
@@ -12,12 +12,13 @@
 use crate::fixture::config;
 
 impl Sim {
-    fn reaches_store(&self, host: usize) -> bool {
-        self.store_up && self.entry_hosts[host].store_reachable
+    pub(super) fn reaches_store(&self, host: usize) -> bool {
+        self.store_up && self.entry_hosts[host].store_reachable && !self.is_store_cut(host)
     }
 
     fn are_connected(&self, host: usize, other: usize) -> bool {
         !self.host_partitions.contains(&(host, other))
+            && !self.are_hosts_cut(host, other)
             && !self.is_frozen(host)
             && !self.is_frozen(other)
     }
@@ -44,24 +45,28 @@
         if !self.now.is_multiple_of(500) {
             return;
         }
-        let mut followers = 1;
+        let now = self.time();
+        let mut replies = BTreeMap::new();
         for other in 0..self.entry_hosts.len() {
-            if other != host && self.are_connected(host, other) {
-                let entry = &mut self.entry_hosts[other];
-                if entry.granter.is_none() && entry.followed_term <= term {
-                    entry.followed_term = term;
-                    entry.leader_seen = self.now;
-                    followers += 1;
-                }
+            if other == host || !self.are_connected(host, other) {
+                continue;
+            }
+            let announces = self.announces;
+            let entry = &mut self.entry_hosts[other];
+            if announces && entry.granter.as_ref().is_some_and(|own| own.term() < term) {
+                entry.granter = None;
+                entry.pending_write = None;
+            }
+            if entry.granter.is_none() && entry.followed_term <= term {
+                entry.followed_term = term;
+                entry.leader_seen = self.now;
+                replies.insert(format!("h{other}"), now);
             }
         }
-        let now = self.time();
-        let is_followed = followers * 2 > self.entry_hosts.len();
-        if is_followed {
-            let granter = self.entry_hosts[host].granter.as_mut().unwrap();
-            granter.confirm(now);
-            granter.record_majority(now);
-        }
+        let known = self.entry_hosts.len();
+        let granter = self.entry_hosts[host].granter.as_mut().unwrap();
+        granter.confirm_by_hosts(now, &replies, known);
+        let is_followed = granter.majority_reply(now, &replies, known).is_some();
         if self.reaches_store(host) {
             self.check_record(host, is_followed);
         }
@@ -88,12 +93,14 @@
             let revision = self.record_revision() + 1;
             self.set_record(Some((revision, record.clone())));
             let entry = &mut self.entry_hosts[host];
-            entry.granter.as_mut().unwrap().begin_era(now, &record, era);
+            let granter = entry.granter.as_mut().unwrap();
+            granter.begin_era(now, &record, era);
+            granter.confirm_by_record(now);
             entry.revision = revision;
             entry.followed_term = term;
             entry.pending_write = None;
         } else if granter.era() == era && record_term == granter.term() {
-            granter.confirm(now);
+            granter.confirm_by_record(now);
         }
     }
 
@@ -129,6 +136,7 @@
                 address,
                 services: BTreeMap::new(),
                 complete_era: Some(u64::from(self.era == 1)),
+                voters: (self.era == 1).then(BTreeSet::new),
             },
         };
         let revision = self.record_revision() + 1;
@@ -139,7 +147,7 @@
         entry.followed_term = record.term;
         entry.granters += 1;
         entry.learnt_era = (era, self.now);
-        entry.granter = Some(Granter::new(now, &record, era, TIMING));
+        entry.granter = Some(Granter::new(now, now, &record, era, TIMING));
     }
 
     fn retry_write(&mut self, host: usize) {
@@ -171,14 +179,13 @@
         }
         // The answer may be lost; the same write is then retried.
         if !self.is_dropped(0.3) {
+            let now = self.time();
             let entry = &mut self.entry_hosts[host];
             entry.revision = self.record.as_ref().unwrap().0;
             entry.pending_write = None;
-            entry
-                .granter
-                .as_mut()
-                .unwrap()
-                .mark_written(placement.version);
+            let granter = entry.granter.as_mut().unwrap();
+            granter.mark_written(now, placement.version);
+            granter.confirm_by_record(now);
         }
     }
 
--- a/crates/core/tests/front/sim/orders.rs
+++ b/crates/core/tests/front/sim/orders.rs
@@ -35,7 +35,7 @@
         if late.is_some_and(|incarnation| incarnation != self.backends[index].incarnation) {
             return;
         }
-        if !self.backends[index].up || self.server_partitions.contains(&(host, index)) {
+        if !self.backends[index].up || (late.is_none() && self.is_server_cut(host, index)) {
             return;
         }
         if late.is_none() && self.late_execution && self.rng.random_bool(0.2) {
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of an entry host share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -63,6 +64,10 @@
     in_flight: AtomicUsize,
     closing_idle: AtomicBool,
     leader_heard: AtomicU64,
+    /// Whether this host has an open connection to a leader that it hears.
+    hears_leader: AtomicBool,
+    /// The leader of the latest term that this host knows of.
+    known_leader: Mutex<Option<KnownLeader>>,
     leader_state: Mutex<Option<Arc<LeaderState>>>,
     accept_task: Mutex<Option<JoinHandle<()>>>,
 }
@@ -90,6 +95,8 @@
             in_flight: AtomicUsize::new(0),
             closing_idle: AtomicBool::new(false),
             leader_heard: AtomicU64::new(0),
+            hears_leader: AtomicBool::new(false),
+            known_leader: Mutex::default(),
             leader_state: Mutex::default(),
             accept_task: Mutex::default(),
             settings,
@@ -326,8 +333,55 @@
         Time::from_micros(self.leader_heard.load(Ordering::Relaxed))
     }
 
+    /// How long this host has not heard the leader, as it tells other hosts. One that has lost its
+    /// connection to the leader hears it no longer, however little time has passed.
+    pub(crate) fn leader_silence(&self) -> Duration {
+        let silence = clock::now().since(self.leader_heard());
+        let hears = self.leader_state().is_some() || self.hears_leader.load(Ordering::Relaxed);
+        if hears {
+            silence
+        } else {
+            silence.max(LEADER_TIMEOUT)
+        }
+    }
+
+    /// Records whether this host has an open connection to a leader that it hears.
+    pub(crate) fn set_hears_leader(&self, hears: bool) {
+        self.hears_leader.store(hears, Ordering::Relaxed);
+    }
+
+    /// The leader of the latest term that this host knows of.
+    pub(crate) fn known_leader(&self) -> Option<KnownLeader> {
+        lock(&self.known_leader).clone()
+    }
+
+    /// The latest term that this host knows of, or 0.
+    pub(crate) fn known_term(&self) -> u64 {
+        let told = lock(&self.known_leader).as_ref().map_or(0, |it| it.term);
+        told.max(self.with_router(|router, _| router.table().term))
+    }
+
+    /// Takes note of the leader of a term. From a later term on, this host follows no earlier leader,
+    /// and is none.
+    pub(crate) fn learn_leader(&self, term: u64, name: &str, address: SocketAddr) {
+        let mut known = lock(&self.known_leader);
+        if known.as_ref().is_some_and(|known| term <= known.term) {
+            return;
+        }
+        *known = Some(KnownLeader {
+            term,
+            name: name.to_owned(),
+            address,
+        });
+        drop(known);
+        if let Some(leader) = self.leader_state() {
+            leader.yield_to(term, name);
+        }
+    }
+
     /// Records that a heartbeat of the leader was received.
     pub(crate) fn note_leader_heard(&self) {
+        self.set_hears_leader(true);
         self.leader_heard
             .store(clock::now().as_micros(), Ordering::Relaxed);
     }
@@ -356,6 +410,14 @@
     }
 }
 
+/// The leader of a term.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownLeader {
+    pub(crate) term: u64,
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+}
+
 /// Counts one request as in flight until it is dropped.
 pub(crate) struct InFlightGuard<'a> {
     count: &'a AtomicUsize,
--- a/crates/front/src/helpers.rs
+++ b/crates/front/src/helpers.rs
@@ -73,6 +73,12 @@
         *hosts = next;
     }
 
+    /// The addresses of the hosts.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let hosts = lock(&self.hosts);
+        hosts.values().map(|helper| helper.address).collect()
+    }
+
     /// Chooses the host with the fewest requests of this one, near ones first, and counts a request
     /// there until the guard is dropped. `distance` is `None` for domains that are not allowed.
     pub(crate) fn choose(
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -3,6 +3,8 @@
 //! The leader is the one host that grants keys to servers. The store's placement record names it;
 //! the other hosts follow it and replace it when it is lost.
 
+mod candidate;
+mod confirmation;
 mod era;
 mod execution;
 mod heartbeat;
@@ -23,16 +25,19 @@
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform as platform;
 use async_std::task;
-use rand::Rng;
 
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::lock::lock;
 use crate::messages::{Body, TableMessage};
 use crate::orders::{GRANT_TIMEOUT, OrderClient};
-use crate::peers::{self, FollowEnd};
 use crate::registration::register;
 use crate::watch::{Consistency, list};
+use candidate::{
+    Candidate, delay_candidacy, find_leaders_follower, follow_known_leader, follow_recorded_leader,
+    follow_through,
+};
+use confirmation::ConfirmationSchedule;
 use era::EraWatch;
 use execution::execute_order;
 use heartbeat::send_heartbeat;
@@ -51,6 +56,10 @@
 const EXPIRY_MARGIN: Duration = Duration::from_millis(300);
 /// Time after which completed moves are removed from the record.
 const RECORD_CLEANUP_DELAY: Duration = Duration::from_millis(1_000);
+/// Time without the store after which a leader that its followers confirm grants nothing any more. A
+/// successor that reaches too few of the hosts waits for as long, so regions may lose each other and the
+/// store for minutes, but hosts that are gone keep no key forever.
+const STORELESS_LIMIT: Duration = Duration::from_secs(3_600);
 /// Time for hosts to register. Until then, not all are known, so the number of hosts among which
 /// limits are divided is not lowered.
 const REGISTRATION_PERIOD: Duration = Duration::from_millis(4_000);
@@ -58,17 +67,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Age of the followers' last confirmation from which the leader checks the record in the store.
-const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(1_100);
-/// Minimum time between two such checks.
-const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Maximum random delay before a host tries to become the leader.
-const MAX_CANDIDACY_DELAY: Duration = Duration::from_millis(300);
-/// Additional delay of small hosts, so that larger ones come first: the random delay and one call
-/// to the store.
-const SMALL_HOST_DELAY: Duration = Duration::from_millis(450);
 /// Time without a new server after which keys are first placed.
 const SERVER_SETTLE_TIME: Duration = Duration::from_millis(1_800);
 /// Maximum time before keys are first placed.
@@ -78,17 +78,13 @@
 pub(crate) async fn run(host: Arc<EntryHost>) {
     let mut hosts = register(&host).await;
     hosts.remove(&host.settings.name);
-    let mut candidate = Candidate {
-        just_started: true,
-        may_be_first: host.settings.first_start,
-        first_era: None,
-        last_leader: None,
-    };
+    let mut candidate = Candidate::new(host.settings.first_start);
     while !host.is_leaving() {
         let record = match read_record(&host).await {
             Ok(record) => record,
             Err(error) => {
                 log::warn!("cannot read the placement record: {error}");
+                follow_known_leader(&host).await;
                 task::sleep(STORE_RETRY_DELAY).await;
                 continue;
             }
@@ -103,13 +99,13 @@
             task::sleep(STORE_RETRY_DELAY).await;
             continue;
         }
-        let may_lead = candidate.knows_leader_is_gone(&host, &record, follow_end)
-            || !others_hear_leader(&hosts).await;
-        if !may_lead {
+        if !candidate.knows_leader_is_gone(&host, &record, follow_end)
+            && let Some(follower) = find_leaders_follower(&host, &hosts).await
+        {
+            follow_through(&host, follower).await;
             task::sleep(STORE_RETRY_DELAY).await;
             continue;
         }
-        candidate.just_started = false;
         delay_candidacy(&host).await;
         if record.placement.is_none() && record_exists(&host).await {
             continue;
@@ -118,66 +114,6 @@
     }
 }
 
-/// What a host knows about the leaders before it.
-struct Candidate {
-    just_started: bool,
-    /// Whether no host can have led before.
-    may_be_first: bool,
-    /// The era of the store in which this host first read the record.
-    first_era: Option<u64>,
-    /// Term and name of the last leader.
-    last_leader: Option<(u64, String)>,
-}
-
-impl Candidate {
-    fn observe(&mut self, host: &EntryHost, stored: &StoredRecord) {
-        let first_era = *self.first_era.get_or_insert(stored.era());
-        let Some(record) = &stored.placement else {
-            self.may_be_first &= first_era == stored.era();
-            return;
-        };
-        self.may_be_first = false;
-        let current = Some((record.term, record.leader.clone()));
-        if record.leader != host.settings.name && self.last_leader != current {
-            let detail = format!("term {}", record.term);
-            host.log(EventCode::GranterChanged, &record.leader, detail);
-        }
-        self.last_leader = current;
-    }
-
-    /// Whether there is certainly no leader to follow, so that the host may become a candidate
-    /// without asking the others whether they hear one.
-    ///
-    /// If the store may have lost the name of the leader, only the others know.
-    fn knows_leader_is_gone(
-        &self,
-        host: &EntryHost,
-        record: &StoredRecord,
-        follow_end: FollowEnd,
-    ) -> bool {
-        if follow_end == FollowEnd::LeaderResigned {
-            return true;
-        }
-        let is_own = record
-            .placement
-            .as_ref()
-            .is_none_or(|record| record.leader == host.settings.name);
-        record.is_complete(self.may_be_first)
-            && (is_own || self.just_started || follow_end == FollowEnd::StoreLost)
-    }
-}
-
-/// Follows the leader that the record names, if it is another host, until it is lost or resigns.
-async fn follow_recorded_leader(host: &EntryHost, stored: &StoredRecord) -> FollowEnd {
-    match &stored.placement {
-        Some(record) if record.leader != host.settings.name => {
-            host.with_router(|router, _| router.update_table(table_from_record(record)));
-            peers::follow_leader(host, record.address, record.term).await
-        }
-        _ => FollowEnd::LeaderLost,
-    }
-}
-
 /// Makes this host the leader, if the record has not changed since it was read, and leads.
 async fn take_over(
     host: &Arc<EntryHost>,
@@ -186,8 +122,9 @@
     hosts: &BTreeMap<String, SocketAddr>,
 ) {
     let record = stored.succeed(host, is_first);
+    let written_from = clock::now();
     match write_record_if(host, &record, stored.revision).await {
-        WriteOutcome::Done(revision) => lead(host, record, revision, hosts).await,
+        WriteOutcome::Done(revision) => lead(host, record, revision, written_from, hosts).await,
         WriteOutcome::Conflict(..) => {}
         WriteOutcome::Failed(error) => {
             log::warn!("cannot take over the placement record: {error}");
@@ -196,53 +133,12 @@
     }
 }
 
-async fn delay_candidacy(host: &EntryHost) {
-    let random_delay = rand::rng().random_range(0..MAX_CANDIDACY_DELAY.as_millis() as u64);
-    let size_delay = if host.settings.is_small() {
-        SMALL_HOST_DELAY
-    } else {
-        Duration::ZERO
-    };
-    task::sleep(size_delay + Duration::from_millis(random_delay)).await;
-}
-
-/// Whether another host still hears the leader, so that only the connection from this host is
-/// broken.
-async fn others_hear_leader(hosts: &BTreeMap<String, SocketAddr>) -> bool {
-    let queries = hosts
-        .values()
-        .map(|address| Box::pin(peers::query_silence(*address)));
-    let answers = futures::future::join_all(queries).await;
-    answers
-        .into_iter()
-        .flatten()
-        .any(|silence| silence < peers::LEADER_TIMEOUT)
-}
-
-/// The routing table that follows from a record, for a host that cannot reach the leader.
-fn table_from_record(record: &Placement) -> RoutingTable {
-    let spans = record.services.iter().map(|(service, spans)| {
-        let spans = spans
-            .iter()
-            .map(|span| amaranthshunt_core::front::RoutingSpan {
-                from: span.from,
-                to: span.to,
-                server: span.owner.clone().filter(|_| span.previous.is_none()),
-            });
-        (service.clone(), spans.collect())
-    });
-    RoutingTable {
-        term: record.term,
-        version: 0,
-        services: spans.collect(),
-    }
-}
-
 /// Acts as the leader until another host is, or this one shuts down.
 async fn lead(
     host: &Arc<EntryHost>,
     record: Placement,
     revision: StoreRevision,
+    written_from: Time,
     hosts: &BTreeMap<String, SocketAddr>,
 ) {
     let timing = GranterTiming {
@@ -252,6 +148,7 @@
         order_timeout: GRANT_TIMEOUT,
         expiry_margin: EXPIRY_MARGIN,
         cleanup_delay: RECORD_CLEANUP_DELAY,
+        storeless_limit: STORELESS_LIMIT,
     };
     let name = host.settings.name.clone();
     let trust = if record.lists_all_holders(revision.era()) {
@@ -261,11 +158,15 @@
     };
     let detail = format!("term {}, {trust}", record.term);
     host.log(EventCode::GranterStarted, &name, detail);
+    host.learn_leader(record.term, &name, host.settings.peers_address());
     let started = clock::now();
+    let granter = Granter::new(started, written_from, &record, revision.era(), timing);
     let is_first_placement = record.services.is_empty();
     let members = hosts.keys().cloned().chain([name.clone()]);
     let leader = Arc::new(LeaderState {
-        granter: Mutex::new(Granter::new(started, &record, revision.era(), timing)),
+        granter: Mutex::new(granter),
+        addresses: Mutex::new(hosts.clone()),
+        announcing: AtomicBool::new(false),
         followers: Mutex::default(),
         orders: OrderClient::default(),
         helper_list: Mutex::default(),
@@ -276,11 +177,10 @@
         demand: Mutex::new(DemandShares::new(started)),
         pool: Mutex::new(RatePool::new(started)),
         end_reason: Mutex::default(),
-        started,
     });
     host.set_leader_state(Some(leader.clone()));
     let mut last_heartbeat = Time::ZERO;
-    let mut last_store_check = Time::ZERO;
+    let mut confirmation = ConfirmationSchedule::new(started);
     let mut published = RoutingTable::default();
     let mut last_server_count = (0, started);
     let mut members_refreshed = false;
@@ -288,7 +188,7 @@
     let mut era_watch = EraWatch::default();
     while !leader.is_superseded() {
         let now = clock::now();
-        confirm_leadership(host, &leader, now, &mut last_store_check);
+        confirmation.confirm(host, &leader, now);
         era_watch.follow_store(host, &leader, now);
         let count = host.with_router(|router, _| router.servers().iter().count());
         if count != last_server_count.0 {
@@ -331,42 +231,6 @@
     host.log(EventCode::GranterEnded, &name, detail);
 }
 
-/// Confirms that this host is still the leader: from its followers, or else from the store.
-fn confirm_leadership(
-    host: &Arc<EntryHost>,
-    leader: &Arc<LeaderState>,
-    now: Time,
-    last_store_check: &mut Time,
-) {
-    let told = host.with_router(|router, _| router.hosts());
-    let echo = leader.majority_echo(told);
-    if let Some(echo) = echo {
-        let mut granter = lock(&leader.granter);
-        granter.confirm(echo);
-        if echo > leader.started {
-            granter.record_majority(now);
-        }
-    }
-    let is_confirmed = echo.is_some_and(|echo| now.since(echo) < CONFIRMATION_MAX_AGE);
-    if is_confirmed || now.since(*last_store_check) < STORE_CHECK_INTERVAL {
-        return;
-    }
-    *last_store_check = now;
-    let (host, leader) = (host.clone(), leader.clone());
-    task::spawn(async move {
-        let sent = clock::now();
-        let Ok(record) = read_record(&host).await else {
-            return;
-        };
-        let mut granter = lock(&leader.granter);
-        if record.term() > granter.term() {
-            leader.supersede(format!("the record has term {}", record.term()));
-        } else if record.term() == granter.term() && record.era() == granter.era() {
-            granter.confirm(sent);
-        }
-    });
-}
-
 fn advance_granter(host: &Arc<EntryHost>, leader: &Arc<LeaderState>, published: &mut RoutingTable) {
     let orders = host.with_router(|router, now| {
         let config = router.config().cloned().unwrap_or_default();
@@ -412,10 +276,13 @@
             return;
         }
         if host.store.era() == revision.era() {
+            let sent = clock::now();
             match write_record_if(&host, &placement, *revision).await {
                 WriteOutcome::Done(written) => {
                     *revision = written;
-                    lock(&leader.granter).mark_written(version);
+                    let mut granter = lock(&leader.granter);
+                    granter.mark_written(clock::now(), version);
+                    granter.confirm_by_record(sent);
                     return;
                 }
                 WriteOutcome::Conflict(term, _) if term > placement.term => {
@@ -437,11 +304,13 @@
 async fn refresh_members(host: Arc<EntryHost>, leader: Arc<LeaderState>) {
     match list(&host, platform::HOSTS, Consistency::Strong).await {
         Ok((objects, _)) => {
-            let hosts = objects
-                .into_iter()
-                .filter(|object| platform::read_host(&object.spec).is_ok());
-            let names = hosts.map(|object| object.name);
-            lock(&leader.members).add_registered(names);
+            let hosts = objects.into_iter().filter_map(|object| {
+                let address = platform::read_host(&object.spec).ok()?;
+                Some((object.name, address))
+            });
+            let hosts: BTreeMap<String, SocketAddr> = hosts.collect();
+            lock(&leader.members).add_registered(hosts.keys().cloned());
+            lock(&leader.addresses).extend(hosts);
         }
         Err(error) => log::warn!("cannot read the list of hosts: {error}"),
     }
--- a/crates/front/src/leadership/era.rs
+++ b/crates/front/src/leadership/era.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::Ordering;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::first_term;
+use amaranthshunt_core::front::{Placement, first_term};
 use amaranthshunt_core::log::EventCode;
 use async_std::task;
 
@@ -42,9 +42,9 @@
         if self.era != era {
             *self = Self { era, since: now };
         }
-        let told = host.with_router(|router, _| router.hosts());
-        let echo = leader.majority_echo(told);
-        if echo.is_some_and(|echo| echo >= self.since) {
+        let (known, replies) = (leader.known_hosts(host), leader.last_replies());
+        let reply = lock(&leader.granter).majority_reply(now, &replies, known);
+        if reply.is_some_and(|reply| reply >= self.since) {
             if !leader.rewriting.swap(true, Ordering::Relaxed) {
                 task::spawn(begin_term(host.clone(), leader.clone(), era));
             }
@@ -71,6 +71,7 @@
     era: u64,
 ) -> std::result::Result<(), String> {
     let mut revision = leader.record_revision.lock().await;
+    let read_from = clock::now();
     let stored = read_record(host).await.map_err(|error| error.to_string())?;
     if stored.era() != era {
         return Err(format!("the store has begun era {}", stored.era()));
@@ -83,7 +84,7 @@
         // An earlier attempt succeeded, but its response was lost.
         *revision = stored.revision;
         if let Some(record) = own_record {
-            lock(&leader.granter).begin_era(clock::now(), &record, era);
+            begin_era(host, leader, &record, era, read_from);
         }
         return Ok(());
     }
@@ -94,10 +95,11 @@
     let next_term = first_term(era).max(term + 1);
     let record = lock(&leader.granter).record_for_era(next_term, era);
     *lock(&leader.era_record) = Some(record.clone());
+    let written_from = clock::now();
     match write_record_if(host, &record, stored.revision).await {
         WriteOutcome::Done(written) => {
             *revision = written;
-            lock(&leader.granter).begin_era(clock::now(), &record, era);
+            begin_era(host, leader, &record, era, written_from);
             let detail = format!("term {next_term}, the store has begun era {era}");
             host.log(EventCode::GranterStarted, &host.settings.name, detail);
             Ok(())
@@ -108,3 +110,11 @@
         WriteOutcome::Failed(error) => Err(error),
     }
 }
+
+/// Begins the term of a record that was in the store at some time after `recorded`.
+fn begin_era(host: &EntryHost, leader: &LeaderState, record: &Placement, era: u64, recorded: Time) {
+    host.learn_leader(record.term, &record.leader, record.address);
+    let mut granter = lock(&leader.granter);
+    granter.begin_era(clock::now(), record, era);
+    granter.confirm_by_record(recorded);
+}
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -1,6 +1,7 @@
 //! State of the leader.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,6 +16,7 @@
 
 use crate::allowances::AllowanceReply;
 use crate::clock;
+use crate::entry_host::EntryHost;
 use crate::link::encode_frame;
 use crate::lock::lock;
 use crate::messages::{Body, Hello, HelperMessage, Report, TableMessage};
@@ -32,6 +34,10 @@
     pub(super) helper_list: Mutex<HelperList>,
     /// Every host that has ever registered or followed.
     pub(super) members: Mutex<Members>,
+    /// The addresses of the hosts that have registered.
+    pub(super) addresses: Mutex<BTreeMap<String, SocketAddr>>,
+    /// Whether hosts that do not follow are being told of this leader.
+    pub(super) announcing: AtomicBool,
     /// Revision of the placement record in the store; locked while the record is being written.
     pub(super) record_revision: async_std::sync::Mutex<StoreRevision>,
     /// The record that this host last tried to write for a new era of the store.
@@ -43,7 +49,6 @@
     pub(super) pool: Mutex<RatePool>,
     /// Why this host leads no longer.
     pub(super) end_reason: Mutex<Option<String>>,
-    pub(super) started: Time,
 }
 
 pub(super) struct Follower {
@@ -238,22 +243,19 @@
         helpers.map(|follower| follower.helper.clone()).collect()
     }
 
-    /// The latest time at which more than half of the hosts, this one included, knew of no other
-    /// leader; `None` if too few follow. `told` is the number of hosts that the leader before has
-    /// told.
-    pub(super) fn majority_echo(&self, told: usize) -> Option<Time> {
-        let host_count = lock(&self.members).majority_base(told);
+    /// The last reply of each follower, as the time of the heartbeat that it answers.
+    pub(super) fn last_replies(&self) -> BTreeMap<String, Time> {
         let followers = lock(&self.followers);
-        let mut echoes: Vec<Time> = followers
-            .values()
-            .map(|follower| follower.last_echo)
-            .collect();
-        echoes.sort();
-        let needed = host_count / 2;
-        match needed {
-            0 => Some(clock::now()),
-            needed => echoes.iter().rev().nth(needed - 1).copied(),
-        }
+        let replies = followers.iter();
+        replies
+            .map(|(name, follower)| (name.clone(), follower.last_echo))
+            .collect()
+    }
+
+    /// Number of hosts that this leader, or the one before it, knows of.
+    pub(super) fn known_hosts(&self, host: &EntryHost) -> usize {
+        let told = host.with_router(|router, _| router.hosts());
+        lock(&self.members).majority_base(told)
     }
 
     /// Whether orders may still be written: this host is confirmed, and no other is known to lead.
@@ -261,6 +263,13 @@
         !self.is_superseded() && lock(&self.granter).is_confirmed(now)
     }
 
+    /// Ends the leadership if the term of another leader is later.
+    pub(crate) fn yield_to(&self, term: u64, name: &str) {
+        if term > lock(&self.granter).term() {
+            self.supersede(format!("host {name} leads in term {term}"));
+        }
+    }
+
     /// Ends the leadership for the reason given, unless it has ended already.
     pub(super) fn supersede(&self, reason: String) {
         lock(&self.end_reason).get_or_insert(reason);
--- a/crates/front/src/leadership/record.rs
+++ b/crates/front/src/leadership/record.rs
@@ -1,6 +1,6 @@
 //! The placement record in the store, which names the leader and the server of each key range.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use amaranthshunt_core::front::{Placement, StoreRevision, first_term};
@@ -57,14 +57,28 @@
                 address,
                 services: BTreeMap::new(),
                 complete_era: Some(if is_first { era } else { 0 }),
+                voters: is_first.then(BTreeSet::new),
             },
         }
     }
 }
 
 pub(super) async fn read_record(host: &EntryHost) -> Result<StoredRecord, StoreError> {
+    read_record_at(
+        host,
+        &platform::object_path(platform::PLACEMENTS, RECORD_NAME),
+    )
+    .await
+}
+
+/// Reads the record as it may have been some seconds ago.
+pub(super) async fn read_stale_record(host: &EntryHost) -> Result<StoredRecord, StoreError> {
     let path = platform::object_path(platform::PLACEMENTS, RECORD_NAME);
-    let response = host.call_store("GET", &path, &[], Duration::ZERO).await?;
+    read_record_at(host, &platform::stale_path(&path)).await
+}
+
+async fn read_record_at(host: &EntryHost, path: &str) -> Result<StoredRecord, StoreError> {
+    let response = host.call_store("GET", path, &[], Duration::ZERO).await?;
     if response.status == 404 {
         return Ok(StoredRecord {
             placement: None,
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -18,7 +18,7 @@
 /// The frame of every message.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub(crate) body: Option<Body>,
 }
 
@@ -61,6 +61,25 @@
     /// The reply to it.
     #[prost(message, tag = "12")]
     Allowance(Allowance),
+    /// Tells a host that does not follow the sender that the sender leads.
+    #[prost(message, tag = "13")]
+    Announce(Announcement),
+    /// Asks a host that hears the leader for its routing table, if that is later than this one, of which
+    /// only the term and the version are filled in.
+    #[prost(message, tag = "14")]
+    QueryTable(TableMessage),
+}
+
+/// The leader of a term.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub(crate) struct Announcement {
+    #[prost(uint64, tag = "1")]
+    pub(crate) term: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) leader: String,
+    /// The address at which other hosts reach it.
+    #[prost(string, tag = "3")]
+    pub(crate) address: String,
 }
 
 /// A follower's request for one more request to a server than its share of the limit allows.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -21,14 +21,16 @@
 use crate::link::Link;
 use crate::messages::{
     Allowance, Body, DemandShareMessage, DepartureMessage, Heartbeat, Hello, LimitMessage, Report,
-    RequestAllowance,
+    RequestAllowance, TableMessage,
 };
 use crate::watch::{self, KINDS};
 
 /// Time without a heartbeat after which the leader counts as lost.
 pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Timeout for connecting to another host, and for a whole query of one.
+/// Timeout for connecting to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for a query of another host.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which the store may be unreachable for the leader before another host replaces it.
 const STORE_OUTAGE_LIMIT: Duration = Duration::from_millis(1_000);
 /// Maximum messages queued for one follower.
@@ -78,14 +80,35 @@
     match timeout(HELLO_TIMEOUT, link.receive()).await.ok()?? {
         Body::Hello(hello) => serve_follower(&host, link, hello).await,
         Body::QuerySilence(_) => {
-            let silence = clock::now().since(host.leader_heard());
+            let silence = host.leader_silence();
             link.send(Body::SilenceMillis(silence.as_millis() as u64))
                 .await
         }
+        Body::QueryTable(known) => link.send(answer_table_query(&host, &known)).await,
+        Body::Announce(announcement) => {
+            let address = announcement.address.parse().ok()?;
+            host.learn_leader(announcement.term, &announcement.leader, address);
+            Some(())
+        }
         _ => None,
     }
 }
 
+/// The routing table, if this host hears the leader and has a later one than another host knows; else
+/// how long it has not heard the leader.
+fn answer_table_query(host: &EntryHost, known: &TableMessage) -> Body {
+    let silence = host.leader_silence();
+    let table = host.with_router(|router, _| {
+        let table = router.table();
+        let is_later = (known.term, known.version) < (table.term, table.version);
+        is_later.then(|| TableMessage::from(table))
+    });
+    match table {
+        Some(table) if silence < LEADER_TIMEOUT => Body::Table(table),
+        _ => Body::SilenceMillis(silence.as_millis() as u64),
+    }
+}
+
 /// Serves one follower while this host is the leader.
 async fn serve_follower(host: &EntryHost, mut link: Link, hello: Hello) -> Option<()> {
     let leader = host.leader_state()?;
@@ -174,6 +197,7 @@
     let requests = host.allowances.connect();
     let end = follow_connection(host, address, term, &requests).await;
     host.allowances.disconnect();
+    host.set_hears_leader(false);
     end.unwrap_or(FollowEnd::LeaderLost)
 }
 
@@ -253,6 +277,10 @@
                 if host.is_leaving() {
                     return Some(FollowEnd::LeaderResigned);
                 }
+                // The report has told the leader, too.
+                if host.known_term() > term {
+                    return None;
+                }
                 if should_replace_leader(host, &heartbeat, &mut outage_since) {
                     return Some(FollowEnd::StoreLost);
                 }
@@ -285,7 +313,7 @@
         echo: heartbeat.sent_at,
         key_counts: take_key_counts(host),
         missing: host.take_missing_keys(),
-        term: host.with_router(|router, _| router.table().term),
+        term: host.known_term(),
         limits: host
             .with_router(|router, now| router.take_rate_limit_reports(now))
             .into_iter()
@@ -319,13 +347,53 @@
 
 /// Asks a host how long it has not heard the leader; `None` without a reply in time.
 pub(crate) async fn query_silence(address: SocketAddr) -> Option<Duration> {
-    let query = async {
-        let mut link = Link::new(TcpStream::connect(address).await.ok()?);
-        link.send(Body::QuerySilence(true)).await?;
-        match link.receive().await? {
-            Body::SilenceMillis(millis) => Some(Duration::from_millis(millis)),
-            _ => None,
+    match query(address, Body::QuerySilence(true)).await? {
+        Body::SilenceMillis(millis) => Some(Duration::from_millis(millis)),
+        _ => None,
+    }
+}
+
+/// What another host says of the routing table.
+pub(crate) enum TableAnswer {
+    /// It has a later table.
+    Later(RoutingTable),
+    /// It has the same table, and hears the leader.
+    Unchanged,
+    /// It does not hear the leader either, or has not answered in time.
+    Unknown,
+}
+
+/// Asks a host for its routing table, if that is later than the one of the given term and version.
+pub(crate) async fn query_table(address: SocketAddr, (term, version): (u64, u64)) -> TableAnswer {
+    let known = TableMessage {
+        term,
+        version,
+        services: Vec::new(),
+    };
+    match query(address, Body::QueryTable(known)).await {
+        Some(Body::Table(table)) => TableAnswer::Later(table.into()),
+        Some(Body::SilenceMillis(millis)) if millis < LEADER_TIMEOUT.as_millis() as u64 => {
+            TableAnswer::Unchanged
         }
+        _ => TableAnswer::Unknown,
+    }
+}
+
+async fn query(address: SocketAddr, question: Body) -> Option<Body> {
+    let exchange = async {
+        let mut link = Link::new(TcpStream::connect(address).await.ok()?);
+        link.send(question).await?;
+        link.receive().await
+    };
+    timeout(QUERY_TIMEOUT, exchange).await.ok().flatten()
+}
+
+/// Sends a host a message that has no reply.
+pub(crate) async fn tell(address: SocketAddr, body: Body) {
+    let send = async {
+        let mut link = Link::new(TcpStream::connect(address).await.ok()?);
+        link.send(body).await
     };
-    timeout(CONNECT_TIMEOUT, query).await.ok().flatten()
+    // A host that is not reached is told again later.
+    let _ = timeout(CONNECT_TIMEOUT, send).await;
 }
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod server_limit;
 mod site;
 mod stranded_host;
+mod two_leaders;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/crates/support/src/platform/objects.rs
+++ b/crates/support/src/platform/objects.rs
@@ -233,6 +233,14 @@
         state.dropped_revision = state.revision;
     }
 
+    /// The part of an object that its owner sets, unaffected by faults; null if there is none.
+    pub fn spec(&self, kind: &str, name: &str) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        let state = lock(&self.state);
+        let object = state.objects.get(&key);
+        object.map_or(Value::Null, |object| object["Spec"].clone())
+    }
+
     /// Writes an object directly, unaffected by faults.
     pub fn put(&self, kind: &str, name: &str, spec: Value, status: Value) {
         lock(&self.state).put(kind, name, spec, status, true);
