List the voters with the first placement, not seconds after it

The voters were listed 4 s after the leader's start at the earliest, and until then only the record confirms it, so all leases ran out.

--- a/crates/core/src/front/voters.rs
+++ b/crates/core/src/front/voters.rs
@@ -93,7 +93,8 @@
     /// Proposes a list of the hosts that follow, if it differs from the one in the record; returns
     /// whether it does.
     pub(super) fn propose(&mut self, now: Time, leader: &str) -> bool {
-        if self.proposed.is_some() || now.since(self.changed) < CHANGE_INTERVAL {
+        let is_due = self.is_empty() || now.since(self.changed) >= CHANGE_INTERVAL;
+        if self.proposed.is_some() || !is_due {
             return false;
         }
         let limit = |name: &String| {
