Refuse requests that crash servers after the third crash, at all hosts

Cause: the path of front judged a request by the state of servers only and never by what it had done to them. The project's own interface has a quarantine; nothing here used it.

Change: hosts count the lives of servers that ended while a request was running, one after the other, and tell each other in reports and heartbeats, new followers and new leaders included. From three on the request is refused at once with a 503, for ten minutes; one crash later brings that back for an hour. Suspects are sent one at a time at each host, and not once more after a loss. A success at any host clears a request, and a server that answers again takes its crash back. The quarantine of the core serves both interfaces; on the own one, too, a single crash after a refusal brings it back.

Why it works: a request that crashes every server never succeeds, so its count rises with each crash and nothing clears it; hosts know of a crash about a second after it. Innocent requests are cleared by their next success, and servers that go down together count once.

A popular request is served while nine servers crash, and one whose connections break off at a server that goes on is not refused; both held before as well.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod balance;
 mod config;
+mod crash_tracker;
 mod demand_shares;
 mod freshness;
 mod granter;
@@ -31,6 +32,7 @@
 pub use admission::{Admission, Overload};
 pub use balance::{KeyRates, MoveCandidate, RateEstimate, ServerUsage};
 pub use config::{Config, Limits, Route, Service, WeightedService};
+pub use crash_tracker::{ClearanceNotice, CrashNotice, CrashNotices, CrashTracker, CrashVerdict};
 pub use demand_shares::DemandShares;
 pub use freshness::{Freshness, RelayStatus};
 pub use granter::{ClusterState, Granter, GranterTiming, Order, OrderReply};
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -92,6 +92,8 @@
     Deadline,
     /// Several servers have crashed while executing the request.
     Quarantined,
+    /// A server has crashed while executing the request, and another attempt of it is running.
+    Suspect,
     /// This host reaches no server, and no other host can help.
     NoReach,
     /// The host is shutting down.
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -39,7 +39,7 @@
 use crate::log::{EventCode, LogRecord};
 use crate::message::Message;
 use crate::object::ObjectKey;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Crash, Quarantine, QuarantinePolicy};
 use crate::record::RegionRecord;
 use crate::settings::{HostSettings, Timing};
 use crate::time::Time;
@@ -133,6 +133,11 @@
         timers.subscribe(now, TimerKind::Housekeeping);
         timers.subscribe(now, TimerKind::Heartbeat);
         timers.subscribe(now, TimerKind::Gossip);
+        let quarantine = QuarantinePolicy {
+            crash_limit: 2,
+            gap: Duration::ZERO,
+            span: settings.timing.quarantine,
+        };
         Self {
             settings,
             rng: SmallRng::seed_from_u64(seed),
@@ -167,7 +172,7 @@
             unusable_since: BTreeMap::new(),
             backoff_until: BTreeMap::new(),
             warm_boots: BTreeMap::new(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(quarantine),
             known_peers: BTreeSet::new(),
             retry_budget: RetryBudget::default(),
             leaving: false,
@@ -373,7 +378,7 @@
             .retain(|host, _| view.host(*host).is_some() || previous.contains(host));
         self.unreachable_peers
             .retain(|host| view.host(*host).is_some());
-        self.quarantine.expire(self.now, timing.quarantine);
+        self.quarantine.expire(self.now);
         let now = self.now;
         self.backoff_until.retain(|_, until| *until > now);
         let cutoff = now - timing.clock_margin();
@@ -454,6 +459,7 @@
             }
             Message::Provisioned { id } => self.handle_provisioned(from, id),
             Message::Suspect { fingerprint, crash } => {
+                let crash = Crash::at(crash, self.now);
                 self.quarantine.record_crash(fingerprint, crash, self.now);
             }
         }
--- a/crates/core/src/host/caller_requests.rs
+++ b/crates/core/src/host/caller_requests.rs
@@ -220,7 +220,10 @@
         if request.deadline <= self.now {
             return Some(Refusal::Deadline);
         }
-        if self.quarantine.is_quarantined(request.fingerprint()) {
+        if self
+            .quarantine
+            .is_quarantined(request.fingerprint(), self.now)
+        {
             return Some(Refusal::Quarantined);
         }
         None
--- a/crates/core/src/host/crashes.rs
+++ b/crates/core/src/host/crashes.rs
@@ -7,7 +7,7 @@
 use crate::ids::{HostId, ServerKey};
 use crate::log::EventCode;
 use crate::message::Message;
-use crate::quarantine::CrashId;
+use crate::quarantine::{Crash, CrashId};
 use crate::time::Time;
 
 /// Requests lost with their connections to a server, until it is known whether it crashed.
@@ -41,8 +41,9 @@
         let name = self.server_name(server);
         let crash = CrashId::new(&name, lost.boot);
         for fingerprint in lost.fingerprints {
-            self.quarantine.record_crash(fingerprint, crash, self.now);
-            let code = if self.quarantine.is_quarantined(fingerprint) {
+            self.quarantine
+                .record_crash(fingerprint, Crash::at(crash, self.now), self.now);
+            let code = if self.quarantine.is_quarantined(fingerprint, self.now) {
                 EventCode::RequestQuarantined
             } else {
                 EventCode::RequestSuspect
@@ -68,7 +69,10 @@
         if peers == self.known_peers {
             return;
         }
-        let crashes: Vec<(u64, CrashId)> = self.quarantine.crashes().collect();
+        let crashes = self.quarantine.crashes();
+        let crashes: Vec<(u64, CrashId)> = crashes
+            .map(|(fingerprint, crash, _)| (fingerprint, crash.id))
+            .collect();
         let joined: Vec<HostId> = peers.difference(&self.known_peers).copied().collect();
         for peer in joined {
             for (fingerprint, crash) in &crashes {
--- a/crates/core/src/host/dispatch.rs
+++ b/crates/core/src/host/dispatch.rs
@@ -70,7 +70,8 @@
         if self.is_past_grace(server) {
             return Some(Refusal::Unavailable);
         }
-        if self.quarantine.is_quarantined(job.request.fingerprint()) {
+        let fingerprint = job.request.fingerprint();
+        if self.quarantine.is_quarantined(fingerprint, self.now) {
             return Some(Refusal::Quarantined);
         }
         None
@@ -360,8 +361,11 @@
         }
         self.record_warm_server(server);
         self.check_slow_server(server);
-        self.quarantine
-            .record_success(running.job.request.fingerprint());
+        let fingerprint = running.job.request.fingerprint();
+        if !self.quarantine.is_quarantined(fingerprint, self.now) {
+            self.quarantine
+                .record_success(fingerprint, self.now, self.now);
+        }
         self.set_record_state(&running.job, RecordState::Answered(answer.clone()));
         self.conclude_all(running.job, &Outcome::Answer(answer));
     }
--- a/crates/core/tests/core/units.rs
+++ b/crates/core/tests/core/units.rs
@@ -10,7 +10,7 @@
 };
 use amaranthshunt_core::ledger::{Ledger, Lookup, Record, RecordState, Tenure};
 use amaranthshunt_core::limiter::Limiter;
-use amaranthshunt_core::quarantine::{CrashId, Quarantine};
+use amaranthshunt_core::quarantine::{Crash, CrashId, Quarantine, QuarantinePolicy};
 use amaranthshunt_core::queue::Queue;
 use amaranthshunt_core::validity::{Predecessor, Validity};
 use amaranthshunt_core::{Answer, Refusal, Time, Timing, UnknownReason};
@@ -201,17 +201,27 @@
 
 #[test]
 fn a_request_is_quarantined_after_two_crashes_until_the_quarantine_expires() {
-    let mut quarantine = Quarantine::default();
-    quarantine.record_crash(7, CrashId::new("a", 1), at(0));
-    quarantine.record_crash(7, CrashId::new("a", 1), at(5));
+    let mut quarantine = Quarantine::new(QuarantinePolicy {
+        crash_limit: 2,
+        gap: Duration::ZERO,
+        span: Duration::from_secs(60),
+    });
+    let crash = |server, millis| Crash::at(CrashId::new(server, 1), at(millis));
+    quarantine.record_crash(7, crash("a", 0), at(0));
+    quarantine.record_crash(7, crash("a", 5), at(5));
     assert!(
-        !quarantine.is_quarantined(7),
+        !quarantine.is_quarantined(7, at(5)),
         "a crash that is reported twice counts once"
     );
-    quarantine.record_crash(7, CrashId::new("b", 1), at(10));
-    assert!(quarantine.is_quarantined(7));
-    quarantine.expire(at(70_010), Duration::from_secs(60));
-    assert!(!quarantine.is_quarantined(7));
+    quarantine.record_crash(7, crash("b", 10), at(10));
+    assert!(quarantine.is_quarantined(7, at(60_000)));
+    quarantine.expire(at(70_010));
+    assert!(!quarantine.is_quarantined(7, at(70_010)));
+    quarantine.record_crash(7, crash("c", 70_020), at(70_020));
+    assert!(
+        quarantine.is_quarantined(7, at(70_020)),
+        "one more crash brings the refusal back"
+    );
 }
 
 #[test]
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod bounds;
+mod crash_tracker;
 mod departures;
 mod fixture;
 mod freshness;
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -1,7 +1,7 @@
 //! Serves the connections of callers.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use amaranthshunt_core::front::{Limits, RefusalCause, RoutePlan, RouteRefusal};
@@ -214,6 +214,7 @@
                 caller_left: AtomicBool::new(false),
                 plan,
                 origin,
+                fingerprint: OnceLock::new(),
             };
             serve_while_connected(host, connection, Arc::new(request)).await
         }
--- a/crates/front/src/command.rs
+++ b/crates/front/src/command.rs
@@ -77,6 +77,7 @@
                 last_sweep = clock::now();
                 host.pool.close_expired();
                 host.with_router(|router, now| router.tick(now));
+                host.suspects.sweep(&host);
             }
         }
         shut_down(&host).await;
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -38,6 +38,8 @@
     limited = "requests_limited_total";
     /// Requests refused because servers have asked for a pause.
     paused = "requests_paused_total";
+    /// Requests refused because they have crashed servers.
+    quarantined = "requests_quarantined_total";
     /// Requests passed on to other hosts, since this one reached no server.
     relayed = "requests_relayed_total";
     /// Requests to the leader for more than this host's share of a limit.
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -26,6 +26,7 @@
 use crate::peers::LEADER_TIMEOUT;
 use crate::pool::Pool;
 use crate::store::{self, StoreClient, StoreResponse};
+use crate::suspects::Suspects;
 use crate::watch::KINDS;
 
 /// Time after a stop signal in which requests are still forwarded: a later one could still be
@@ -44,6 +45,8 @@
     pub(crate) counters: Counters,
     /// Hosts that serve requests while this one reaches no server.
     pub(crate) helpers: Helpers,
+    /// Requests that may crash servers.
+    pub(crate) suspects: Suspects,
     /// What this host asks the leader for beyond its share of servers' limits.
     pub(crate) allowances: Allowances,
     /// Memory of incomplete responses of servers.
@@ -80,6 +83,7 @@
             pool: Pool::default(),
             counters: Counters::default(),
             helpers: Helpers::default(),
+            suspects: Suspects::default(),
             allowances: Allowances::default(),
             response_buffers: BufferBudget::new(settings.response_memory()),
             router: Mutex::new(Router::new(settings.router())),
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -10,13 +10,13 @@
 use crate::entry_host::EntryHost;
 use crate::lock::lock;
 use crate::messages::{
-    Body, DemandShareMessage, DepartureMessage, Heartbeat, HelperMessage, KeyCounts,
-    OverloadMessage, Report,
+    Body, CrashesMessage, DemandShareMessage, DepartureMessage, Heartbeat, HelperMessage,
+    KeyCounts, OverloadMessage, Report,
 };
 use crate::watch::KINDS;
 
-/// Time for which a departure is repeated in heartbeats, some of which may be lost.
-const DEPARTURE_TELLING: Duration = Duration::from_millis(3_000);
+/// Time for which departures and crashes are repeated in heartbeats, some of which may be lost.
+const NEWS_TELLING: Duration = Duration::from_millis(3_000);
 
 /// Takes in this host's own report, and sends a heartbeat to all followers.
 pub(super) fn send_heartbeat(
@@ -39,6 +39,7 @@
             store_era: host.store.era(),
             lacks_servers: false,
             departures: Vec::new(),
+            crashes: None,
         },
     );
     let member_count = lock(&leader.members).count();
@@ -71,21 +72,26 @@
         counts_limits: true,
         helpers: Vec::new(),
         departures: Vec::new(),
+        crashes: None,
     };
     let (recent, all) = host.with_router(|router, now| {
-        let recent = router.departures(now - DEPARTURE_TELLING);
+        let recent = router.departures(now - NEWS_TELLING);
         (recent, router.departures(Time::ZERO))
     });
+    // What this host has observed itself is among what it has learnt.
+    host.suspects.take_unreported();
+    let crashes_since = |since| CrashesMessage::new(now, &host.suspects.learnt_since(since));
+    let recent_crashes = crashes_since(now - NEWS_TELLING);
     let own = lock(&leader.demand).tell(now, &host.settings.name);
     host.with_router(|router, now| router.update_demand_shares(now, own));
     let list = update_helpers(host, leader);
     leader.send_each(|name, follower| {
         let shares = lock(&leader.demand).tell(now, name);
         let helpers = follower.helpers_to_tell(name, &list);
-        let departures = if follower.take_is_new() {
-            &all
+        let (departures, crashes) = if follower.take_is_new() {
+            (&all, crashes_since(Time::ZERO))
         } else {
-            &recent
+            (&recent, recent_crashes.clone())
         };
         let messages = shares.iter();
         let messages = messages.map(|(service, share)| DemandShareMessage::new(service, *share));
@@ -93,6 +99,7 @@
             demand_shares: messages.collect(),
             helpers,
             departures: departures.iter().map(DepartureMessage::from).collect(),
+            crashes,
             ..heartbeat.clone()
         })
     });
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,7 @@
 mod response;
 mod signals;
 mod store;
+mod suspects;
 mod watch;
 
 pub use command::run;
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -3,6 +3,7 @@
 //! Field numbers are never reused. `docs/platform-path.md`, "Between hosts", says which host sends
 //! what.
 
+mod crashes;
 mod table;
 
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 };
 use prost::{Message, Oneof};
 
+pub(crate) use crashes::CrashesMessage;
 pub(crate) use table::TableMessage;
 
 /// The frame of every message.
@@ -171,6 +173,10 @@
     /// Servers that responses have lately told to leave; all of them in the first heartbeat.
     #[prost(message, repeated, tag = "13")]
     pub(crate) departures: Vec<DepartureMessage>,
+    /// Requests that hosts have lately learnt to crash servers, or to crash none; all of them in the
+    /// first heartbeat.
+    #[prost(message, optional, tag = "14")]
+    pub(crate) crashes: Option<CrashesMessage>,
 }
 
 impl Heartbeat {
@@ -345,6 +351,10 @@
     /// Servers whose responses have told that they leave.
     #[prost(message, repeated, tag = "8")]
     pub(crate) departures: Vec<DepartureMessage>,
+    /// Requests that the sender has seen crash servers, or crash none; all that it knows of in the first
+    /// report to a leader.
+    #[prost(message, optional, tag = "9")]
+    pub(crate) crashes: Option<CrashesMessage>,
 }
 
 /// A server that has told in a response that it leaves.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -20,8 +20,8 @@
 use crate::leadership::{LeaderState, take_key_counts};
 use crate::link::Link;
 use crate::messages::{
-    Allowance, Body, DemandShareMessage, DepartureMessage, Heartbeat, Hello, LimitMessage, Report,
-    RequestAllowance, TableMessage,
+    Allowance, Body, CrashesMessage, DemandShareMessage, DepartureMessage, Heartbeat, Hello,
+    LimitMessage, Report, RequestAllowance, TableMessage,
 };
 use crate::watch::{self, KINDS};
 
@@ -130,6 +130,7 @@
                 host.learn_store_era(report.store_era);
                 apply_rate_limits(host, std::mem::take(&mut report.limits));
                 apply_departures(host, &report.departures);
+                apply_crashes(host, report.crashes.as_ref());
                 leader.handle_report(&hello.name, report);
                 Some(())
             }
@@ -178,6 +179,13 @@
     });
 }
 
+/// Takes in what another host knows of requests that crash servers.
+fn apply_crashes(host: &EntryHost, crashes: Option<&CrashesMessage>) {
+    if let Some(crashes) = crashes {
+        host.suspects.apply(&crashes.to_notices(clock::now()));
+    }
+}
+
 /// Counts out one more request to a server that names a limit.
 fn reply_to(host: &EntryHost, leader: &LeaderState, request: RequestAllowance) -> Allowance {
     let limits = request.limit.into_iter().collect::<Vec<LimitMessage>>();
@@ -222,6 +230,7 @@
     let mut outage_since: Option<Time> = None;
     let mut transit = TransitDelay::default();
     let mut last_message = clock::now();
+    let mut has_reported = false;
     loop {
         let limit = LEADER_TIMEOUT.saturating_sub(clock::now().since(last_message));
         let received = Box::pin(timeout(limit, link.receive()));
@@ -254,6 +263,7 @@
                     host.update_freshness(kind, |f, now| f.record_announcement(now, change, age));
                 }
                 apply_departures(host, &heartbeat.departures);
+                apply_crashes(host, heartbeat.crashes.as_ref());
                 let overloads: Vec<Overload> =
                     heartbeat.overloads.iter().map(Overload::from).collect();
                 let shares: BTreeMap<Arc<str>, f64> = heartbeat
@@ -270,10 +280,11 @@
                 });
                 timeout(
                     LEADER_TIMEOUT,
-                    link.send(Body::Report(create_report(host, &heartbeat))),
+                    link.send(Body::Report(create_report(host, &heartbeat, !has_reported))),
                 )
                 .await
                 .ok()??;
+                has_reported = true;
                 if host.is_leaving() {
                     return Some(FollowEnd::LeaderResigned);
                 }
@@ -308,7 +319,13 @@
     }
 }
 
-fn create_report(host: &EntryHost, heartbeat: &Heartbeat) -> Report {
+fn create_report(host: &EntryHost, heartbeat: &Heartbeat, is_first: bool) -> Report {
+    let observed = host.suspects.take_unreported();
+    let crashes = if is_first {
+        host.suspects.learnt_since(Time::ZERO)
+    } else {
+        observed
+    };
     Report {
         echo: heartbeat.sent_at,
         key_counts: take_key_counts(host),
@@ -326,6 +343,7 @@
             .iter()
             .map(DepartureMessage::from)
             .collect(),
+        crashes: CrashesMessage::new(clock::now(), &crashes),
     }
 }
 
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -4,12 +4,12 @@
 mod relay;
 mod send;
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{RefusalCause, RoutePlan, RouteRefusal};
+use amaranthshunt_core::front::{RefusalCause, RoutePlan, RouteRefusal, ServerEntry};
 use amaranthshunt_core::ids::ServerKey;
 use amaranthshunt_platform as platform;
 use bytes::Bytes;
@@ -19,9 +19,10 @@
 use crate::entry_host::EntryHost;
 use crate::http::RequestHead;
 use crate::response::Response;
+use crate::suspects::{self, SendPermit};
 use attempt::{Attempt, NextStep};
 use relay::relay;
-pub(crate) use relay::{REFUSAL, SENDS, SERVER, SERVER_START};
+pub(crate) use relay::{LOST, REFUSAL, SENDS, SERVER, SERVER_START};
 use send::send;
 
 /// Minimum time that must remain until the deadline for an attempt to start.
@@ -43,6 +44,7 @@
     pub(crate) caller_left: AtomicBool,
     pub(crate) plan: RoutePlan,
     pub(crate) origin: Origin,
+    pub(crate) fingerprint: OnceLock<u64>,
 }
 
 /// Where a request comes from.
@@ -65,6 +67,12 @@
                 .map_or(timeout, |caller_timeout| caller_timeout.min(timeout))
     }
 
+    /// Identifies the request when it comes again.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let fingerprint = || suspects::fingerprint(&self.head, &self.body);
+        *self.fingerprint.get_or_init(fingerprint)
+    }
+
     fn shard_key(&self) -> Option<u16> {
         self.head.headers.get(platform::SHARD_KEY)?.parse().ok()
     }
@@ -111,6 +119,10 @@
         }
         Origin::Host { sends } => attempts.sends = sends,
     }
+    let _permit = match admit(&host, &request).await {
+        Ok(permit) => permit,
+        Err(response) => return response,
+    };
     loop {
         if request.origin == Origin::Caller && must_relay(&host, &attempts) {
             return relay(&host, &request, attempts).await;
@@ -154,7 +166,10 @@
             NextStep::NotRun(refusal) => attempts.refusal = Some(refusal),
             NextStep::MayHaveRun(status, detail) => {
                 attempts.maybe_ran = Some((status, detail));
-                if !request.plan.route.idempotent {
+                // A suspect that has lost its server once more is not sent to another one.
+                let is_suspect =
+                    attempts.lost_at.is_some() && host.suspects.is_suspect(request.fingerprint());
+                if !request.plan.route.idempotent || is_suspect {
                     return attempts.final_response(RouteRefusal {
                         cause: RefusalCause::Repeats,
                         retry_after: None,
@@ -178,6 +193,23 @@
     }
 }
 
+/// Waits until a request may be sent that may crash servers.
+///
+/// # Errors
+///
+/// Fails with the refusal if it may not.
+async fn admit(host: &EntryHost, request: &Request) -> Result<SendPermit, Response> {
+    if host.suspects.is_idle() {
+        return Ok(None);
+    }
+    let remaining = request.deadline().since(clock::now());
+    let permit = host.suspects.admit(request.fingerprint(), remaining / 2);
+    permit.await.map_err(|refused| {
+        host.counters.quarantined.add();
+        Response::refused(refused.refusal).with_detail(&refused.detail)
+    })
+}
+
 /// Whether a request has to go to another host: this one reaches no server, or may reach none and
 /// has failed to connect for this request.
 fn must_relay(host: &EntryHost, attempts: &Attempts) -> bool {
@@ -198,6 +230,8 @@
     refusal: Option<RouteRefusal>,
     /// Status and log detail of an attempt after which the request may have run.
     maybe_ran: Option<(u16, String)>,
+    /// The server that has broken off the connection of the last attempt.
+    lost_at: Option<ServerEntry>,
 }
 
 impl Attempts {
@@ -210,7 +244,11 @@
     fn final_response(&self, refusal: RouteRefusal) -> Response {
         match &self.maybe_ran {
             Some((status, detail)) => {
-                Response::generated(*status, None, &format!("unknown: {detail}"))
+                let response = Response::generated(*status, None, &format!("unknown: {detail}"));
+                match &self.lost_at {
+                    Some(entry) => response.lost_at(entry),
+                    None => response,
+                }
             }
             None => {
                 let retry_after = refusal
--- a/crates/front/src/proxy/attempt.rs
+++ b/crates/front/src/proxy/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request: what its outcome says of the server and what to do next.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthshunt_core::front::{AttemptOutcome, LoadReport, RefusalCause, RouteRefusal, Target};
@@ -12,6 +13,7 @@
 use crate::http::ResponseHead;
 use crate::messages::MissingKey;
 use crate::response::Response;
+use crate::suspects::{is_broken_off, record_loss};
 
 /// What to do after an attempt.
 pub(super) enum NextStep {
@@ -24,14 +26,14 @@
 
 /// An attempt that counts as running at a server until it has ended or its task is dropped.
 pub(super) struct Attempt<'a> {
-    host: &'a EntryHost,
+    host: &'a Arc<EntryHost>,
     request: &'a Request,
     target: &'a Target,
     ended: bool,
 }
 
 impl<'a> Attempt<'a> {
-    pub(super) fn new(host: &'a EntryHost, request: &'a Request, target: &'a Target) -> Self {
+    pub(super) fn new(host: &'a Arc<EntryHost>, request: &'a Request, target: &'a Target) -> Self {
         Self {
             host,
             request,
@@ -91,6 +93,11 @@
                 self.host.pool.close_idle_connections(&self.target.entry);
                 attempts.sends += 1;
                 attempts.avoided.push(self.target.server);
+                if is_broken_off(&error) {
+                    let (entry, began) = (&self.target.entry, self.target.sent);
+                    record_loss(self.host, self.request, entry, began, true);
+                    attempts.lost_at = Some(entry.clone());
+                }
                 NextStep::MayHaveRun(502, format!("{server}: {error}"))
             }
             SendResult::TimedOut => {
@@ -153,6 +160,8 @@
                 format!("{server} sent an unsigned or re-encoded response"),
             );
         }
+        let suspects = &self.host.suspects;
+        suspects.record_answer(&self.target.entry, || self.request.fingerprint());
         self.finish(
             AttemptOutcome::Answered {
                 success: head.status < 500,
--- a/crates/front/src/proxy/relay.rs
+++ b/crates/front/src/proxy/relay.rs
@@ -1,5 +1,6 @@
 //! Passes a request on to another host, since this one reaches no server.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::pool::PoolKey;
 use crate::response::Response;
 use crate::signals::observe_relayed;
+use crate::suspects::record_loss;
 
 /// Header of a request that another host has received: how often it was sent to servers already.
 pub(crate) const SENDS: &str = "amaranthshunt-sends";
@@ -24,6 +26,8 @@
 pub(crate) const SERVER: &str = "amaranthshunt-server";
 /// Header of a response to such a request: the start of that server's process.
 pub(crate) const SERVER_START: &str = "amaranthshunt-server-start";
+/// Header of a response to such a request: the server that has broken off its connection.
+pub(crate) const LOST: &str = "amaranthshunt-lost";
 /// Hosts that are asked to serve a request, at most.
 const HELPER_LIMIT: usize = 3;
 /// Timeout for connecting to another host.
@@ -49,7 +53,11 @@
 }
 
 /// Passes a request on to other hosts until one of them has a final response.
-pub(super) async fn relay(host: &EntryHost, request: &Request, mut attempts: Attempts) -> Response {
+pub(super) async fn relay(
+    host: &Arc<EntryHost>,
+    request: &Request,
+    mut attempts: Attempts,
+) -> Response {
     let mut excluded = Vec::new();
     let mut refusal = RouteRefusal {
         cause: RefusalCause::NoReach,
@@ -73,6 +81,7 @@
         match send(host, request, &helper, attempts.sends, remaining).await {
             RelayResult::Response(head, body) => {
                 observe_relayed(host, &head);
+                record_relayed_loss(host, request, &head);
                 return Response::forwarded(&head, body, request.is_bodiless());
             }
             RelayResult::Refused(reason) => {
@@ -98,6 +107,22 @@
     attempts.final_response(refusal)
 }
 
+/// Takes note of a server that has broken off the request's connection to the other host.
+fn record_relayed_loss(host: &Arc<EntryHost>, request: &Request, head: &ResponseHead) {
+    let Some(server) = head.headers.get(LOST) else {
+        return;
+    };
+    let start = head.headers.get(SERVER_START);
+    let start = start.and_then(|text| text.parse::<u64>().ok());
+    let entry = host.with_router(|router, _| {
+        let state = router.servers().life(server, start);
+        state.map(|state| state.entry.clone())
+    });
+    if let Some(entry) = entry {
+        record_loss(host, request, &entry, request.received, false);
+    }
+}
+
 fn choose_helper<'a>(
     host: &'a EntryHost,
     request: &Request,
@@ -178,12 +203,17 @@
     if own_causes.iter().any(|own| format!("{own:?}") == cause) {
         return RelayResult::Unavailable;
     }
+    let is_quarantined = format!("{:?}", RefusalCause::Quarantined) == cause;
     let seconds = headers
         .get("retry-after")
         .and_then(|text| text.parse::<f64>().ok());
     let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     RelayResult::Refused(RouteRefusal {
-        cause: RefusalCause::Busy,
+        cause: if is_quarantined {
+            RefusalCause::Quarantined
+        } else {
+            RefusalCause::Busy
+        },
         retry_after,
     })
 }
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 
 use crate::http::ResponseHead;
-use crate::proxy::{REFUSAL, SERVER, SERVER_START};
+use crate::proxy::{LOST, REFUSAL, SERVER, SERVER_START};
 
 /// Headers of a server's response that are not forwarded to callers.
-const HOST_ONLY_HEADERS: [&str; 4] = [platform::UPSTREAM_LOAD, REFUSAL, SERVER, SERVER_START];
+const HOST_ONLY_HEADERS: [&str; 5] = [platform::UPSTREAM_LOAD, LOST, REFUSAL, SERVER, SERVER_START];
 
 /// A response, ready to be written to a caller.
 #[derive(Clone, Debug)]
@@ -26,6 +26,8 @@
     refusal: Option<RefusalCause>,
     /// The server that made the response, if one did, and the start of its process.
     server: Option<(Arc<str>, Option<u64>)>,
+    /// Whether that server has broken off the connection instead.
+    is_lost: bool,
 }
 
 impl Response {
@@ -46,6 +48,7 @@
             body,
             refusal: None,
             server: None,
+            is_lost: false,
         }
     }
 
@@ -58,6 +61,24 @@
         }
     }
 
+    /// Names the server that has broken off the connection of the request.
+    #[must_use]
+    pub(crate) fn lost_at(self, entry: &ServerEntry) -> Self {
+        Self {
+            is_lost: true,
+            ..self.made_by(entry)
+        }
+    }
+
+    /// Adds a detail to the reason in the log.
+    #[must_use]
+    pub(crate) fn with_detail(self, detail: &str) -> Self {
+        Self {
+            log_detail: format!("{}, {detail}", self.log_detail),
+            ..self
+        }
+    }
+
     /// Why the host refused the request; `None` if it did not.
     pub(crate) fn refusal(&self) -> Option<RefusalCause> {
         self.refusal
@@ -71,7 +92,8 @@
             self.head.extend_from_slice(header.as_bytes());
         }
         if let Some((server, start_id)) = &self.server {
-            let mut headers = format!("{SERVER}: {server}\r\n");
+            let name = if self.is_lost { LOST } else { SERVER };
+            let mut headers = format!("{name}: {server}\r\n");
             if let Some(start_id) = start_id {
                 headers.push_str(&format!("{SERVER_START}: {start_id}\r\n"));
             }
@@ -117,6 +139,7 @@
             body: Bytes::new(),
             refusal: None,
             server: None,
+            is_lost: false,
         }
     }
 
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! The host on the users' platform as a real process, with fakes of the platform's services.
 
 mod config_delay;
+mod crashing_requests;
 mod endless;
 mod faulty_responses;
 mod leaving_servers;
--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -70,6 +70,8 @@
     leaving: Option<String>,
     /// Value of the `Retry-After` header of the 503 that each request gets, if they are turned away.
     retry_after: Option<String>,
+    /// End of the path of requests that crash the server, and time after which it is back.
+    poison: Option<(String, Duration)>,
 }
 
 /// A fake server that runs in this process.
@@ -102,6 +104,7 @@
             limit: None,
             leaving: None,
             retry_after: None,
+            poison: None,
         };
         let upstream = Self {
             options,
@@ -152,6 +155,12 @@
         lock(&self.state).retry_after = retry_after.map(str::to_owned);
     }
 
+    /// Lets requests whose path ends in `path` crash the server when they begin to run; it is back after
+    /// `down`.
+    pub fn set_poison(&self, path: &str, down: Duration) {
+        lock(&self.state).poison = Some((path.to_owned(), down));
+    }
+
     /// Sets whether the server reports that it is draining.
     pub fn set_draining(&self, draining: bool) {
         lock(&self.state).draining = draining;
@@ -160,6 +169,12 @@
 
     /// Aborts the server, as a crash would, and removes it from the store.
     pub fn crash(&self) {
+        self.crash_unseen();
+        self.store.remove("servers", &self.options.id);
+    }
+
+    /// Aborts the server, as a crash would; its entry in the store stays.
+    pub fn crash_unseen(&self) {
         lock(&self.tasks).abort();
         self.recorder.end_leases(&self.incarnation_id());
         let mut state = lock(&self.state);
@@ -170,8 +185,17 @@
         state.leaving = None;
         state.retry_after = None;
         state.fault = UpstreamFault::None;
-        drop(state);
-        self.store.remove("servers", &self.options.id);
+    }
+
+    /// Crashes and starts again after a time.
+    fn crash_for(self, down: Duration) {
+        task::spawn(async move {
+            self.crash_unseen();
+            task::sleep(down).await;
+            if let Err(error) = self.restart().await {
+                eprintln!("cannot restart {}: {error}", self.options.id);
+            }
+        });
     }
 
     /// Starts the server again under the same identifier, without held keys.
@@ -287,6 +311,11 @@
         server: upstream.incarnation_id(),
         began: Instant::now(),
     });
+    let poison = lock(&upstream.state).poison.clone();
+    if let Some((_, down)) = poison.filter(|(path, _)| request.url().path().ends_with(path)) {
+        upstream.clone().crash_for(down);
+        return futures::future::pending().await;
+    }
     let extra = if let UpstreamFault::Slow(millis) = fault {
         Duration::from_millis(millis)
     } else {
