Let 4,096 new connections wait to be accepted

Callers saw connections reset about 1.2 s after they had opened them, when 600 came to a host at once: the queue of new connections of the library's listener holds 128, and what does not fit waits for a second or is reset.

Change: the queue is lengthened after the address is bound.

--- a/crates/front/src/command.rs
+++ b/crates/front/src/command.rs
@@ -24,6 +24,9 @@
 /// Time after a stop signal in which the platform may still send new connections. It covers two
 /// readiness checks, a second apart, and one more check interval.
 const READINESS_DELAY: Duration = Duration::from_millis(3_200);
+/// New connections that may wait to be accepted. The library's own queue of 128 overflows in bursts,
+/// and what does not fit waits for seconds or is reset.
+const BACKLOG: i32 = 4_096;
 /// Time before the end of the grace period at which the process exits, even with requests in flight.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -125,10 +128,14 @@
 }
 
 async fn bind(address: std::net::SocketAddr) -> miette::Result<TcpListener> {
-    TcpListener::bind(address)
+    let listener = TcpListener::bind(address)
         .await
         .into_diagnostic()
-        .wrap_err_with(|| format!("cannot listen on {address}"))
+        .wrap_err_with(|| format!("cannot listen on {address}"))?;
+    if let Err(error) = rustix::net::listen(&listener, BACKLOG) {
+        log::warn!("cannot lengthen the queue of new connections at {address}: {error}");
+    }
+    Ok(listener)
 }
 
 /// Shuts down: fails readiness checks at once, accepts callers for as long as the platform sends
