Count everything that a host has in hand towards one bound on its memory

Cause: the bound was a sum of known parts. The account left 64 KiB of each message out, and heads, and what a growing buffer takes beyond its bytes; it ended when a response was complete; request bodies and answers to orders had none, and bodies were copied for each write. Nothing bounded the number of requests in hand.

Change: one budget for all messages from the first byte read to the last one written, room for 8 KiB of each message in every request, and as many requests as there is room for; beyond it a request is refused at once, before its body is read. A growing message has to leave as much free as it occupies. Bodies are kept in parts that nothing copies together. A gauge tells the bytes in use.

Why it works: what is in hand cannot exceed the two shares together, 0.7 of the memory, whatever servers and callers send; messages without end give way to each other before they use up what others need.

--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -15,8 +15,12 @@
 
 /// Memory that a host is assumed to have if the platform does not state it, in MB.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
-/// Share of the memory that incomplete responses of servers may occupy together.
-const RESPONSE_MEMORY_SHARE: f64 = 0.25;
+/// Share of the memory that messages may occupy together, beyond what each request has room for.
+const BUFFER_MEMORY_SHARE: f64 = 0.4;
+/// Share of the memory for what each request in hand has room for.
+const REQUEST_MEMORY_SHARE: f64 = 0.3;
+/// Memory that each request has room for, in bytes: its tasks, connections and small messages.
+const REQUEST_BYTES: f64 = 48.0 * 1024.0;
 
 /// Settings of one entry host that sends requests directly to backend servers.
 #[derive(Clone, Debug)]
@@ -89,10 +93,18 @@
             || is_below(self.link_mbps, MIN_RELAY_LINK_MBPS)
     }
 
-    /// Bytes of incomplete responses that the host buffers at a time.
-    pub fn response_memory(&self) -> usize {
-        let megabytes = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
-        (megabytes * RESPONSE_MEMORY_SHARE * 1e6) as usize
+    fn memory(&self) -> f64 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6
+    }
+
+    /// Bytes that the messages in hand may occupy together, beyond what each request has room for.
+    pub fn buffer_memory(&self) -> usize {
+        (self.memory() * BUFFER_MEMORY_SHARE) as usize
+    }
+
+    /// Number of requests that the host has in hand at a time.
+    pub fn max_requests(&self) -> usize {
+        (self.memory() * REQUEST_MEMORY_SHARE / REQUEST_BYTES) as usize
     }
 
     /// Whether the host itself listens on an address.
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -13,7 +13,7 @@
 
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::{Connection, HttpError, RequestHead, within};
+use crate::http::{Body, BufferAccount, Connection, Framing, HttpError, RequestHead, within};
 use crate::proxy::{Origin, Request, SENDS, serve};
 use crate::response::Response;
 
@@ -27,6 +27,10 @@
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Maximum `Retry-After` of an overloaded host; the caller's retry goes to another host.
 const MAX_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// `Retry-After` of a request that there is no memory for; the caller's retry goes to another host.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Time for which the rest of a request that is refused is read, so that its caller gets the response.
+const DISCARD_TIME: Duration = Duration::from_millis(1_000);
 /// Bytes of the headers that another host adds to a request.
 const HOST_HEADER_BYTES: usize = 256;
 /// Delay after a failed accept, so that file descriptors can become free.
@@ -71,15 +75,16 @@
         if !wait_for_request(&host, &mut connection, &limits).await {
             return;
         }
-        let head = within(
-            limits.header_timeout,
-            connection.read_request(limits.header_bytes),
-        )
-        .await;
-        let keep_open = match head {
-            Ok(head) => handle_request(&host, &mut connection, head, &limits, sender).await,
+        let mut account = host.buffers.open_account();
+        let read = connection.read_request(limits.header_bytes, &mut account);
+        let keep_open = match within(limits.header_timeout, read).await {
+            Ok(head) => {
+                let received = ReceivedHead { head, account };
+                handle_request(&host, &mut connection, received, &limits, sender).await
+            }
             Err(error) => {
-                respond_to_read_error(&host, &connection, &error).await;
+                drop(account);
+                respond_to_read_error(&host, &mut connection, &error).await;
                 false
             }
         };
@@ -89,6 +94,13 @@
     }
 }
 
+/// The head of a request whose body has not been read.
+struct ReceivedHead {
+    head: RequestHead,
+    /// The memory of the request.
+    account: BufferAccount,
+}
+
 fn current_limits(host: &EntryHost) -> Limits {
     host.with_router(|router, _| {
         router
@@ -110,28 +122,50 @@
     }
 }
 
-async fn respond_to_read_error(host: &EntryHost, connection: &Connection, error: &HttpError) {
+async fn respond_to_read_error(host: &EntryHost, connection: &mut Connection, error: &HttpError) {
     let status = match error {
         HttpError::HeadTooLong => 431,
         HttpError::BodyTooLong => 413,
         HttpError::Malformed(_) => 400,
+        HttpError::OutOfMemory => return refuse_unread(host, connection, "-").await,
         HttpError::Io(io) if io.kind() == std::io::ErrorKind::TimedOut => 408,
         HttpError::Io(_) | HttpError::Closed => return,
     };
     host.log(EventCode::RequestEnded, "-", format!("{status}, {error}"));
     let response = Response::generated(status, None, "");
     // A write error means that the caller has disconnected.
-    let _ = connection.write(&response.to_bytes(None, false)).await;
+    let _ = connection
+        .write(&response.head_bytes(None, false), response.body())
+        .await;
+}
+
+/// Refuses a request that there is no memory for, whether or not its body has been read. The connection
+/// is to be closed.
+async fn refuse_unread(host: &EntryHost, connection: &mut Connection, id: &str) {
+    let response = refuse_request(
+        host,
+        id,
+        RouteRefusal {
+            cause: RefusalCause::HostOverloaded,
+            retry_after: Some(MEMORY_RETRY_AFTER),
+        },
+    );
+    let id = Some(id).filter(|id| !id.is_empty() && *id != "-");
+    let head = response.head_bytes(id, false);
+    if connection.write(&head, response.body()).await.is_ok() {
+        connection.discard_input(DISCARD_TIME).await;
+    }
 }
 
 /// Reads the body of a request and responds to it; returns whether the connection stays open.
 async fn handle_request(
     host: &Arc<EntryHost>,
     connection: &mut Connection,
-    head: RequestHead,
+    request: ReceivedHead,
     limits: &Limits,
     sender: Sender,
 ) -> bool {
+    let ReceivedHead { head, mut account } = request;
     let received = clock::now() - host.delay().estimate();
     let header_number = |name| {
         head.headers
@@ -139,9 +173,23 @@
             .and_then(|text| text.parse::<u64>().ok())
     };
     let caller_timeout = header_number(platform::REQUEST_DEADLINE).map(Duration::from_millis);
+    let id = head
+        .headers
+        .get(platform::REQUEST_ID)
+        .unwrap_or_default()
+        .to_owned();
+    let has_room = match head.framing {
+        Framing::Length(length) if length <= limits.body_bytes => account.reserve(length),
+        _ => true,
+    };
+    let Some(_in_flight) = host.admit_request().filter(|_| has_room) else {
+        drop(account);
+        refuse_unread(host, connection, &id).await;
+        return false;
+    };
     if head.headers.contains_token("expect", "100-continue")
         && connection
-            .write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .write(b"HTTP/1.1 100 Continue\r\n\r\n", &Body::default())
             .await
             .is_err()
     {
@@ -150,22 +198,20 @@
     let body_timeout = caller_timeout.unwrap_or(BODY_TIMEOUT);
     let body = within(
         body_timeout,
-        connection.read_body(head.framing, limits.body_bytes),
+        connection.read_body(head.framing, limits.body_bytes, &mut account),
     )
     .await;
     let body = match body {
         Ok(body) => body,
         Err(error) => {
-            respond_to_read_error(host, connection, &error).await;
+            drop(account);
+            match error {
+                HttpError::OutOfMemory => refuse_unread(host, connection, &id).await,
+                error => respond_to_read_error(host, connection, &error).await,
+            }
             return false;
         }
     };
-    let _in_flight = host.begin_request();
-    let id = head
-        .headers
-        .get(platform::REQUEST_ID)
-        .unwrap_or_default()
-        .to_owned();
     let keep_alive = head.keep_alive;
     let authority = head.headers.get("host").unwrap_or_default().to_owned();
     let origin = match sender {
@@ -208,6 +254,7 @@
             let request = Request {
                 head,
                 body,
+                _account: account,
                 id: id.clone(),
                 received,
                 caller_timeout,
@@ -228,11 +275,12 @@
         Sender::Host => response.for_host(),
     };
     let keep_alive = keep_alive && !host.is_leaving();
-    let bytes = response.to_bytes(
+    let head = response.head_bytes(
         Some(&id).filter(|id| !id.is_empty()).map(String::as_str),
         keep_alive,
     );
-    let written = async_std::future::timeout(WRITE_TIMEOUT, connection.write(&bytes)).await;
+    let written =
+        async_std::future::timeout(WRITE_TIMEOUT, connection.write(&head, response.body())).await;
     keep_alive && matches!(written, Ok(Ok(())))
 }
 
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -49,8 +49,8 @@
     pub(crate) suspects: Suspects,
     /// What this host asks the leader for beyond its share of servers' limits.
     pub(crate) allowances: Allowances,
-    /// Memory of incomplete responses of servers.
-    pub(crate) response_buffers: BufferBudget,
+    /// Memory of the messages in hand.
+    pub(crate) buffers: BufferBudget,
     router: Mutex<Router>,
     /// The latest era of the store that has been logged.
     logged_era: AtomicU64,
@@ -85,7 +85,7 @@
             helpers: Helpers::default(),
             suspects: Suspects::default(),
             allowances: Allowances::default(),
-            response_buffers: BufferBudget::new(settings.response_memory()),
+            buffers: BufferBudget::new(settings.buffer_memory()),
             router: Mutex::new(Router::new(settings.router())),
             logged_era: AtomicU64::new(0),
             missing_keys: Mutex::default(),
@@ -208,6 +208,7 @@
             config_version: self.config_version(),
             config_age: self.copy_age(amaranthshunt_platform::CONFIG),
             store_era: self.store.era(),
+            buffered_bytes: self.buffers.used() as u64,
             limited_servers: self.with_router(|router, _| router.rate_limit_count()) as u64,
             paused_servers: self.with_router(|router, now| router.paused_count(now)) as u64,
             leaving_servers: self.with_router(|router, _| router.leaving_count()) as u64,
@@ -395,12 +396,14 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn begin_request(&self) -> InFlightGuard<'_> {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard {
+    /// Counts a request as in flight until the guard is dropped; `None` if there are as many already as
+    /// the memory of this host allows.
+    pub(crate) fn admit_request(&self) -> Option<InFlightGuard<'_>> {
+        let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let guard = InFlightGuard {
             count: &self.in_flight,
-        }
+        };
+        (before < self.settings.max_requests()).then_some(guard)
     }
 
     /// Records that a server does not hold a key that it should.
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -11,6 +11,8 @@
     pub(crate) config_age: Duration,
     /// Era of the store's history; 0 if none is known.
     pub(crate) store_era: u64,
+    /// Bytes of messages in hand beyond what each request has room for.
+    pub(crate) buffered_bytes: u64,
     /// Servers that name a limit.
     pub(crate) limited_servers: u64,
     /// Servers that are known to leave.
@@ -21,10 +23,11 @@
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 6] = [
+    pub const NAMES: [&'static str; 7] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
         "amaranthshunt_store_era",
+        "amaranthshunt_buffered_bytes",
         "amaranthshunt_limited_servers",
         "amaranthshunt_leaving_servers",
         "amaranthshunt_paused_servers",
@@ -36,6 +39,7 @@
             u128::from(self.config_version),
             self.config_age.as_millis(),
             u128::from(self.store_era),
+            u128::from(self.buffered_bytes),
             u128::from(self.limited_servers),
             u128::from(self.leaving_servers),
             u128::from(self.paused_servers),
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -4,12 +4,14 @@
 //! either could give a caller a wrong response. `httparse` parses heads; the rest is implemented
 //! here. See `docs/platform-path.md`, "On the wire".
 
+mod body;
 mod buffer_budget;
 mod connection;
 mod error;
 mod head;
 
-pub(crate) use buffer_budget::BufferBudget;
+pub(crate) use body::Body;
+pub(crate) use buffer_budget::{BufferAccount, BufferBudget};
 pub(crate) use connection::{Connection, within};
 pub(crate) use error::{HttpError, Result};
-pub(crate) use head::{Headers, RequestHead, ResponseHead};
+pub(crate) use head::{Framing, Headers, RequestHead, ResponseHead};
--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -7,11 +7,12 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use futures::future::{Either, FutureExt, select};
 use futures::{AsyncReadExt, AsyncWriteExt};
 
-use super::buffer_budget::{BufferAccount, BufferBudget};
+use super::body::{Body, BodyBuffer};
+use super::buffer_budget::{BufferAccount, SMALL_MESSAGE};
 use super::error::{HttpError, Result};
 use super::head::{Framing, RequestHead, ResponseHead};
 
@@ -20,7 +21,7 @@
 /// Number of reads after which other tasks get a turn.
 const READS_BETWEEN_YIELDS: u32 = 16;
 /// Maximum bytes that [`Connection::wait_closed`] buffers.
-const READ_AHEAD_LIMIT: usize = 64 << 10;
+const READ_AHEAD_LIMIT: usize = SMALL_MESSAGE;
 /// Longest chunk size line and longest trailer line, in bytes.
 const LINE_LIMIT: usize = 4 << 10;
 /// Longest trailer section, in bytes.
@@ -131,12 +132,16 @@
         futures::future::pending::<()>().await;
     }
 
-    /// Reads the head of a request.
+    /// Reads the head of a request, whose bytes count towards the budget of an account.
     ///
     /// # Errors
     ///
-    /// Fails if the head is malformed, truncated or longer than `limit` bytes.
-    pub(crate) async fn read_request(&mut self, limit: usize) -> Result<RequestHead> {
+    /// Fails if the head is malformed, truncated or longer than `limit` bytes, or if the budget is used up.
+    pub(crate) async fn read_request(
+        &mut self,
+        limit: usize,
+        account: &mut BufferAccount,
+    ) -> Result<RequestHead> {
         loop {
             if !self.buffer.is_empty()
                 && let Some((head, length)) = RequestHead::parse(&self.buffer)?
@@ -145,6 +150,9 @@
                     return Err(HttpError::HeadTooLong);
                 }
                 self.buffer.advance(length);
+                if !account.add_head(length) {
+                    return Err(HttpError::OutOfMemory);
+                }
                 return Ok(head);
             }
             if self.buffer.len() > limit {
@@ -154,18 +162,26 @@
         }
     }
 
-    /// Reads the head of a response, skipping informational (1xx) ones.
+    /// Reads the head of a response, skipping informational (1xx) ones. Its bytes count towards the budget
+    /// of an account.
     ///
     /// # Errors
     ///
-    /// Fails if the head is malformed, truncated or too long.
-    pub(crate) async fn read_response(&mut self, bodiless: bool) -> Result<ResponseHead> {
+    /// Fails if the head is malformed, truncated or too long, or if the budget is used up.
+    pub(crate) async fn read_response(
+        &mut self,
+        bodiless: bool,
+        account: &mut BufferAccount,
+    ) -> Result<ResponseHead> {
         let mut interim_responses = 0;
         loop {
             if !self.buffer.is_empty()
                 && let Some((head, length)) = ResponseHead::parse(&self.buffer, bodiless)?
             {
                 self.buffer.advance(length);
+                if !account.add_head(length) {
+                    return Err(HttpError::OutOfMemory);
+                }
                 if head.status >= 200 {
                     return Ok(head);
                 }
@@ -178,10 +194,21 @@
             if self.buffer.len() > RESPONSE_HEAD_LIMIT {
                 return Err(HttpError::HeadTooLong);
             }
+            occupy(account, self.capacity_after_fill())?;
             self.fill_head().await?;
         }
     }
 
+    /// The capacity of the buffer after one more read.
+    fn capacity_after_fill(&self) -> usize {
+        let capacity = self.buffer.capacity();
+        if capacity - self.buffer.len() >= READ_SIZE {
+            capacity
+        } else {
+            capacity * 2 + READ_SIZE
+        }
+    }
+
     async fn fill_head(&mut self) -> Result<()> {
         match self.fill().await? {
             0 if self.buffer.is_empty() => Err(HttpError::Closed),
@@ -190,47 +217,51 @@
         }
     }
 
-    /// Reads a complete body.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the body is malformed, truncated or longer than `limit` bytes.
-    pub(crate) async fn read_body(&mut self, framing: Framing, limit: usize) -> Result<Bytes> {
-        let budget = BufferBudget::new(limit);
-        self.read_accounted_body(framing, limit, budget.open_account())
-            .await
-    }
-
-    /// Reads a complete body, whose bytes count towards a budget while it is incomplete.
+    /// Reads a complete body of at most `limit` bytes, which count towards the budget of an account.
     ///
     /// # Errors
     ///
-    /// Fails as [`Connection::read_body`], and if the budget is used up.
-    pub(crate) async fn read_accounted_body(
+    /// Fails if the body is malformed, truncated or too long, or if the budget is used up.
+    pub(crate) async fn read_body(
         &mut self,
         framing: Framing,
         limit: usize,
-        mut account: BufferAccount,
-    ) -> Result<Bytes> {
+        account: &mut BufferAccount,
+    ) -> Result<Body> {
+        let mut body = BodyBuffer::default();
         match framing {
-            Framing::Length(length) if length > limit => Err(HttpError::BodyTooLong),
+            Framing::Length(length) if length > limit => return Err(HttpError::BodyTooLong),
             Framing::Length(length) => {
-                while self.buffer.len() < length {
+                self.move_to_body(&mut body, length, length);
+                while body.len() < length {
                     self.fill_body().await?;
-                    reserve(&mut account, self.buffer.len())?;
+                    let left = length - body.len();
+                    self.move_to_body(&mut body, left, left);
+                    occupy(account, body.len())?;
                 }
-                Ok(self.buffer.split_to(length).freeze())
             }
-            Framing::Chunked => self.read_chunks(limit, &mut account).await,
-            Framing::UntilClose => {
-                while self.fill().await? > 0 {
-                    if self.buffer.len() > limit {
-                        return Err(HttpError::BodyTooLong);
-                    }
-                    reserve(&mut account, self.buffer.len())?;
+            Framing::Chunked => self.read_chunks(&mut body, limit, account).await?,
+            Framing::UntilClose => loop {
+                self.move_to_body(&mut body, usize::MAX, 0);
+                if body.len() > limit {
+                    return Err(HttpError::BodyTooLong);
                 }
-                Ok(self.buffer.split().freeze())
-            }
+                occupy(account, body.len())?;
+                if self.fill().await? == 0 {
+                    break;
+                }
+            },
+        }
+        Ok(body.finish())
+    }
+
+    /// Moves up to `count` buffered bytes to a body that will have at most `expected` more.
+    fn move_to_body(&mut self, body: &mut BodyBuffer, count: usize, expected: usize) {
+        let count = count.min(self.buffer.len());
+        body.append(&self.buffer[..count], expected);
+        self.buffer.advance(count);
+        if self.buffer.is_empty() && self.buffer.capacity() > READ_SIZE {
+            self.buffer = BytesMut::new();
         }
     }
 
@@ -241,24 +272,31 @@
         }
     }
 
-    async fn read_chunks(&mut self, limit: usize, account: &mut BufferAccount) -> Result<Bytes> {
-        let mut body = BytesMut::new();
+    async fn read_chunks(
+        &mut self,
+        body: &mut BodyBuffer,
+        limit: usize,
+        account: &mut BufferAccount,
+    ) -> Result<()> {
         loop {
             let size = self.read_chunk_size().await?;
-            let length = body.len().checked_add(size);
-            if length.is_none_or(|length| length > limit) {
+            let end = body.len().checked_add(size);
+            let Some(end) = end.filter(|end| *end <= limit) else {
                 return Err(HttpError::BodyTooLong);
-            }
+            };
             if size == 0 {
-                self.skip_trailers().await?;
-                return Ok(body.freeze());
+                return self.skip_trailers().await;
+            }
+            while body.len() < end {
+                if self.buffer.is_empty() {
+                    self.fill_body().await?;
+                }
+                self.move_to_body(body, end - body.len(), 0);
+                occupy(account, body.len())?;
             }
-            while self.buffer.len() < size + 2 {
+            while self.buffer.len() < 2 {
                 self.fill_body().await?;
-                reserve(account, body.len() + self.buffer.len())?;
             }
-            body.extend_from_slice(&self.buffer.split_to(size));
-            reserve(account, body.len() + self.buffer.len())?;
             if &self.buffer[..2] != b"\r\n" {
                 return Err(HttpError::Malformed("chunk end"));
             }
@@ -302,13 +340,25 @@
         }
     }
 
-    /// Writes all bytes.
+    /// Writes a head and a body.
     ///
     /// # Errors
     ///
     /// Fails if the connection fails.
-    pub(crate) async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        (&self.stream).write_all(bytes).await
+    pub(crate) async fn write(&self, head: &[u8], body: &Body) -> io::Result<()> {
+        write_message(&self.stream, head, body).await
+    }
+
+    /// Reads and discards what the peer still sends, until it ends or `limit` has passed: closing a
+    /// connection with unread data would discard what has been written.
+    pub(crate) async fn discard_input(&mut self, limit: Duration) {
+        let discard = async {
+            while let Ok(1..) = self.fill().await {
+                self.buffer.clear();
+            }
+        };
+        // The peer may go on for longer; the connection is then reset.
+        let _ = timeout(limit, discard).await;
     }
 
     /// Sends a request and reads the head of its response, which may arrive before the request is
@@ -319,12 +369,14 @@
     /// Fails as [`Connection::read_response`].
     pub(crate) async fn exchange(
         &mut self,
-        bytes: &[u8],
+        head: &[u8],
+        body: &Body,
         bodiless: bool,
+        account: &mut BufferAccount,
     ) -> Result<(ResponseHead, bool)> {
         let stream = self.stream.clone();
-        let write = Box::pin(async move { (&stream).write_all(bytes).await });
-        let read = Box::pin(self.read_response(bodiless));
+        let write = Box::pin(async move { write_message(&stream, head, body).await });
+        let read = Box::pin(self.read_response(bodiless, account));
         match select(write, read).await {
             Either::Left((Ok(()), read)) => Ok((read.await?, true)),
             // A server that responds early may stop reading; its response is valid all the same.
@@ -334,11 +386,26 @@
     }
 }
 
-fn reserve(account: &mut BufferAccount, bytes: usize) -> Result<()> {
-    if account.resize(bytes) {
+/// Writes a message: one write for a short one, none of which copies a long body.
+async fn write_message(mut stream: &TcpStream, head: &[u8], body: &Body) -> io::Result<()> {
+    if head.len() + body.len() <= SMALL_MESSAGE {
+        let bytes = [head]
+            .into_iter()
+            .chain(body.parts().iter().map(|part| &part[..]));
+        return stream.write_all(&bytes.collect::<Vec<_>>().concat()).await;
+    }
+    stream.write_all(head).await?;
+    for part in body.parts() {
+        stream.write_all(part).await?;
+    }
+    Ok(())
+}
+
+fn occupy(account: &mut BufferAccount, bytes: usize) -> Result<()> {
+    if account.grow(bytes) {
         Ok(())
     } else {
-        Err(HttpError::BodyTooLong)
+        Err(HttpError::OutOfMemory)
     }
 }
 
--- a/crates/front/src/http/error.rs
+++ b/crates/front/src/http/error.rs
@@ -19,6 +19,8 @@
     HeadTooLong,
     /// The body exceeds the limit.
     BodyTooLong,
+    /// Messages occupy all memory that they may.
+    OutOfMemory,
 }
 
 impl fmt::Display for HttpError {
@@ -29,6 +31,7 @@
             Self::Malformed(part) => write!(f, "malformed message: {part}"),
             Self::HeadTooLong => f.write_str("head is too long"),
             Self::BodyTooLong => f.write_str("body is too long"),
+            Self::OutOfMemory => f.write_str("no memory for the message"),
         }
     }
 }
--- a/crates/front/src/monitoring.rs
+++ b/crates/front/src/monitoring.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 
 use crate::entry_host::EntryHost;
-use crate::http::{Connection, within};
+use crate::http::{Body, Connection, within};
 
 /// Longest head of a request, in bytes.
 const REQUEST_HEAD_LIMIT: usize = 8 << 10;
@@ -34,7 +34,12 @@
 }
 
 async fn serve_connection(host: Arc<EntryHost>, mut connection: Connection) {
-    while let Ok(head) = within(IDLE_TIMEOUT, connection.read_request(REQUEST_HEAD_LIMIT)).await {
+    loop {
+        let mut account = host.buffers.open_account();
+        let read = connection.read_request(REQUEST_HEAD_LIMIT, &mut account);
+        let Ok(head) = within(IDLE_TIMEOUT, read).await else {
+            return;
+        };
         let (status, body) = if head.target == METRICS_PATH {
             ("200 OK", host.metrics_text())
         } else if host.is_ready() {
@@ -43,8 +48,9 @@
             ("503 Service Unavailable", String::new())
         };
         let length = body.len();
-        let bytes = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
-        if connection.write(bytes.as_bytes()).await.is_err() || !head.keep_alive {
+        let response = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n");
+        let body = Body::from(body.into_bytes());
+        if connection.write(response.as_bytes(), &body).await.is_err() || !head.keep_alive {
             return;
         }
     }
--- a/crates/front/src/orders.rs
+++ b/crates/front/src/orders.rs
@@ -11,7 +11,7 @@
 
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::Connection;
+use crate::http::{Body, Connection};
 use crate::lock::lock;
 use crate::pool::Pool;
 use crate::signals::{Answered, observe};
@@ -115,20 +115,22 @@
     connection: &mut Connection,
     request: &OrderRequest,
 ) -> crate::http::Result<(u16, Option<String>, bool)> {
-    let mut bytes = format!(
+    let head = format!(
         "POST {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{}: {}\r\nContent-Length: {}\r\n\r\n",
         request.path,
         request.entry.address,
         platform::TARGET_INSTANCE,
         request.entry.id,
         request.body.len()
-    )
-    .into_bytes();
-    bytes.extend_from_slice(&request.body);
-    let (head, sent_completely) = connection.exchange(&bytes, false).await?;
+    );
+    let body = Body::from(request.body.clone());
+    let mut account = host.buffers.open_account();
+    let (head, sent_completely) = connection
+        .exchange(head.as_bytes(), &body, false, &mut account)
+        .await?;
     observe(host, &request.entry, &head, Answered::Earlier);
     connection
-        .read_body(head.framing, RESPONSE_BODY_LIMIT)
+        .read_body(head.framing, RESPONSE_BODY_LIMIT, &mut account)
         .await?;
     let handover = head.headers.get(platform::HANDOVER).map(str::to_owned);
     let is_reusable = head.keep_alive && sent_completely && !connection.has_buffered_data();
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -12,12 +12,11 @@
 use amaranthshunt_core::front::{RefusalCause, RoutePlan, RouteRefusal, ServerEntry};
 use amaranthshunt_core::ids::ServerKey;
 use amaranthshunt_platform as platform;
-use bytes::Bytes;
 
 use crate::allowances::ask_allowance;
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::RequestHead;
+use crate::http::{Body, BufferAccount, RequestHead};
 use crate::response::Response;
 use crate::suspects::{self, SendPermit};
 use attempt::{Attempt, NextStep};
@@ -34,7 +33,9 @@
 #[derive(Debug)]
 pub(crate) struct Request {
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
+    /// The memory of the request, until it has been served.
+    pub(crate) _account: BufferAccount,
     pub(crate) id: String,
     /// When its head had been read.
     pub(crate) received: Time,
@@ -81,8 +82,8 @@
         self.head.method == "HEAD"
     }
 
-    /// The request with what is left of its time and one more header.
-    fn to_bytes(&self, remaining: Duration, header: &str, value: &str) -> Vec<u8> {
+    /// The head with what is left of the request's time and one more header.
+    fn head_bytes(&self, remaining: Duration, header: &str, value: &str) -> Vec<u8> {
         let Self { head, body, .. } = self;
         let mut bytes = format!("{} {} HTTP/1.1\r\n", head.method, head.target).into_bytes();
         let replaced = [
@@ -105,7 +106,6 @@
         }
         bytes.extend_from_slice(own_headers.as_bytes());
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(body);
         bytes
     }
 }
--- a/crates/front/src/proxy/attempt.rs
+++ b/crates/front/src/proxy/attempt.rs
@@ -5,12 +5,10 @@
 
 use amaranthshunt_core::front::{AttemptOutcome, LoadReport, RefusalCause, RouteRefusal, Target};
 use amaranthshunt_platform as platform;
-use bytes::Bytes;
 
-use super::send::SendResult;
+use super::send::{ReceivedResponse, SendResult};
 use super::{Attempts, Request};
 use crate::entry_host::EntryHost;
-use crate::http::ResponseHead;
 use crate::messages::MissingKey;
 use crate::response::Response;
 use crate::suspects::{is_broken_off, record_loss};
@@ -52,9 +50,9 @@
     pub(super) fn evaluate(mut self, result: SendResult, attempts: &mut Attempts) -> NextStep {
         let server = &self.target.entry.id;
         match result {
-            SendResult::Response(head, body, report) => {
+            SendResult::Response(response) => {
                 attempts.sends += 1;
-                self.evaluate_response(&head, body, report, attempts)
+                self.evaluate_response(response, attempts)
             }
             SendResult::Withdrawn => {
                 self.finish(AttemptOutcome::Abandoned, None);
@@ -115,11 +113,10 @@
 
     fn evaluate_response(
         &mut self,
-        head: &ResponseHead,
-        body: Bytes,
-        report: Option<LoadReport>,
+        response: ReceivedResponse,
         attempts: &mut Attempts,
     ) -> NextStep {
+        let (head, report) = (&response.head, response.load);
         let server = &self.target.entry.id;
         let misdirected = head.status == 421;
         if misdirected || head.headers.contains(platform::NOT_EXECUTED) {
@@ -176,9 +173,9 @@
             attempts.avoided.push(self.target.server);
             return NextStep::MayHaveRun(502, format!("{server} responded with {}", head.status));
         }
-        NextStep::Done(
-            Response::forwarded(head, body, self.request.is_bodiless()).made_by(&self.target.entry),
-        )
+        let forwarded = Response::forwarded(head, response.body, self.request.is_bodiless());
+        let forwarded = forwarded.made_by(&self.target.entry);
+        NextStep::Done(forwarded.occupying(response.account))
     }
 }
 
--- a/crates/front/src/proxy/relay.rs
+++ b/crates/front/src/proxy/relay.rs
@@ -6,13 +6,12 @@
 
 use amaranthshunt_core::front::{RefusalCause, RouteRefusal};
 use amaranthshunt_platform as platform;
-use bytes::Bytes;
 
 use super::{Attempts, MIN_ATTEMPT_TIME, Request};
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::helpers::{Distance, HelperGuard};
-use crate::http::{Connection, Headers, HttpError, ResponseHead, within};
+use crate::http::{Body, BufferAccount, Connection, Headers, HttpError, ResponseHead, within};
 use crate::pool::PoolKey;
 use crate::response::Response;
 use crate::signals::observe_relayed;
@@ -43,7 +42,7 @@
 
 /// The result of passing a request on once.
 enum RelayResult {
-    Response(ResponseHead, Bytes),
+    Response(ResponseHead, Body, BufferAccount),
     /// The other host has not run the request.
     Refused(RouteRefusal),
     /// The other host was not reached, or cannot help.
@@ -79,10 +78,10 @@
         excluded.push(helper.name.clone());
         host.counters.relayed.add();
         match send(host, request, &helper, attempts.sends, remaining).await {
-            RelayResult::Response(head, body) => {
+            RelayResult::Response(head, body, account) => {
                 observe_relayed(host, &head);
                 record_relayed_loss(host, request, &head);
-                return Response::forwarded(&head, body, request.is_bodiless());
+                return Response::forwarded(&head, body, request.is_bodiless()).occupying(account);
             }
             RelayResult::Refused(reason) => {
                 refusal = reason;
@@ -159,8 +158,9 @@
             Err(_) => return RelayResult::Unavailable,
         },
     };
-    let bytes = request.to_bytes(remaining, SENDS, &sends.to_string());
-    let exchange = exchange(host, &mut connection, request, &bytes);
+    let bytes = request.head_bytes(remaining, SENDS, &sends.to_string());
+    let mut account = host.buffers.open_account();
+    let exchange = exchange(&mut connection, request, &bytes, &mut account);
     let (head, body, is_clean) = match within(remaining + RESPONSE_MARGIN, exchange).await {
         Ok(response) => response,
         Err(error) => return RelayResult::Lost(error),
@@ -170,20 +170,21 @@
     }
     match head.headers.get(REFUSAL) {
         Some(cause) => read_refusal(cause, &head.headers),
-        None => RelayResult::Response(head, body),
+        None => RelayResult::Response(head, body, account),
     }
 }
 
 async fn exchange(
-    host: &EntryHost,
     connection: &mut Connection,
     request: &Request,
-    bytes: &[u8],
-) -> crate::http::Result<(ResponseHead, Bytes, bool)> {
-    let (head, is_clean) = connection.exchange(bytes, request.is_bodiless()).await?;
-    let account = host.response_buffers.open_account();
+    head: &[u8],
+    account: &mut BufferAccount,
+) -> crate::http::Result<(ResponseHead, Body, bool)> {
+    let (head, is_clean) = connection
+        .exchange(head, &request.body, request.is_bodiless(), account)
+        .await?;
     let body = connection
-        .read_accounted_body(head.framing, RESPONSE_BODY_LIMIT, account)
+        .read_body(head.framing, RESPONSE_BODY_LIMIT, account)
         .await?;
     let id = head.headers.get(platform::REQUEST_ID).unwrap_or_default();
     if id != request.id {
--- a/crates/front/src/proxy/send.rs
+++ b/crates/front/src/proxy/send.rs
@@ -5,12 +5,11 @@
 
 use amaranthshunt_core::front::{LoadReport, RefusalCause, ServerEntry, Target};
 use amaranthshunt_platform as platform;
-use bytes::Bytes;
 
 use super::{MIN_ATTEMPT_TIME, Request};
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::{Connection, HttpError, ResponseHead, within};
+use crate::http::{Body, BufferAccount, Connection, HttpError, ResponseHead, within};
 use crate::signals::{Answered, observe};
 
 /// Timeout for connecting to a server, after which the server counts as unreachable.
@@ -36,7 +35,7 @@
 /// The result of sending a request to a server once.
 pub(super) enum SendResult {
     /// A complete response to this request.
-    Response(ResponseHead, Bytes, Option<LoadReport>),
+    Response(ReceivedResponse),
     /// No connection could be opened, so nothing was sent.
     Unreachable,
     /// The server ended the new connection before anything was sent.
@@ -86,20 +85,16 @@
         host.pool.keep(entry, connection, DEFAULT_IDLE_TIMEOUT);
         return SendResult::Withdrawn;
     }
-    let bytes = request.to_bytes(remaining, platform::TARGET_INSTANCE, &entry.id);
+    let head = request.head_bytes(remaining, platform::TARGET_INSTANCE, &entry.id);
     let result = within(
         remaining + RESPONSE_MARGIN,
-        receive(host, &mut connection, request, entry, &bytes),
+        receive(host, &mut connection, request, entry, &head),
     )
     .await;
     match result {
-        Ok(ReceivedResponse {
-            head,
-            body,
-            load,
-            is_clean,
-        }) => {
-            if is_clean && head.keep_alive && !connection.has_buffered_data() {
+        Ok(response) => {
+            let head = &response.head;
+            if response.is_clean && head.keep_alive && !connection.has_buffered_data() {
                 let stated_timeout = head
                     .headers
                     .get(platform::KEEP_ALIVE)
@@ -109,7 +104,7 @@
                 });
                 host.pool.keep(entry, connection, idle_timeout);
             }
-            SendResult::Response(head, body, load)
+            SendResult::Response(response)
         }
         Err(_) if clock::now() >= request.deadline() => SendResult::TimedOut,
         Err(error) => SendResult::Lost(error),
@@ -117,11 +112,13 @@
 }
 
 /// A complete response to a request.
-struct ReceivedResponse {
-    head: ResponseHead,
-    body: Bytes,
+pub(super) struct ReceivedResponse {
+    pub(super) head: ResponseHead,
+    pub(super) body: Body,
+    /// The memory of the response.
+    pub(super) account: BufferAccount,
     /// The load of the server.
-    load: Option<LoadReport>,
+    pub(super) load: Option<LoadReport>,
     /// Whether the request was sent completely and no response was skipped, so that the connection
     /// may be reused.
     is_clean: bool,
@@ -133,10 +130,13 @@
     connection: &mut Connection,
     request: &Request,
     entry: &ServerEntry,
-    bytes: &[u8],
+    head: &[u8],
 ) -> crate::http::Result<ReceivedResponse> {
     let bodiless = request.is_bodiless();
-    let (mut head, mut is_clean) = connection.exchange(bytes, bodiless).await?;
+    let mut account = host.buffers.open_account();
+    let (mut head, mut is_clean) = connection
+        .exchange(head, &request.body, bodiless, &mut account)
+        .await?;
     for _ in 0..STALE_RESPONSE_LIMIT {
         // A response without an identifier may belong to an earlier request on the connection, so
         // that it says nothing about this one.
@@ -153,20 +153,21 @@
         } else {
             UNSIGNED_BODY_LIMIT
         };
-        let account = host.response_buffers.open_account();
         let body = connection
-            .read_accounted_body(head.framing, limit, account)
+            .read_body(head.framing, limit, &mut account)
             .await?;
         if is_current {
             return Ok(ReceivedResponse {
                 head,
                 body,
+                account,
                 load,
                 is_clean,
             });
         }
         is_clean = false;
-        head = connection.read_response(bodiless).await?;
+        account = host.buffers.open_account();
+        head = connection.read_response(bodiless, &mut account).await?;
     }
     Err(HttpError::Malformed("responses to other requests only"))
 }
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -5,23 +5,24 @@
 
 use amaranthshunt_core::front::{RefusalCause, RouteRefusal, ServerEntry};
 use amaranthshunt_platform as platform;
-use bytes::Bytes;
 
-use crate::http::ResponseHead;
+use crate::http::{Body, BufferAccount, ResponseHead};
 use crate::proxy::{LOST, REFUSAL, SERVER, SERVER_START};
 
 /// Headers of a server's response that are not forwarded to callers.
 const HOST_ONLY_HEADERS: [&str; 5] = [platform::UPSTREAM_LOAD, LOST, REFUSAL, SERVER, SERVER_START];
 
 /// A response, ready to be written to a caller.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Response {
     /// The HTTP status.
     pub(crate) status: u16,
     /// The reason, for the log.
     pub(crate) log_detail: String,
     head: Vec<u8>,
-    body: Bytes,
+    body: Body,
+    /// The memory of the body, until it has been written.
+    _account: Option<BufferAccount>,
     /// Why the host refused the request, if it did.
     refusal: Option<RefusalCause>,
     /// The server that made the response, if one did, and the start of its process.
@@ -32,7 +33,7 @@
 
 impl Response {
     /// Forwards a server's response.
-    pub(crate) fn forwarded(head: &ResponseHead, body: Bytes, bodiless: bool) -> Self {
+    pub(crate) fn forwarded(head: &ResponseHead, body: Body, bodiless: bool) -> Self {
         let mut bytes = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
         head.headers
             .write_end_to_end(&mut bytes, &HOST_ONLY_HEADERS);
@@ -46,6 +47,7 @@
             log_detail: "forwarded".to_owned(),
             head: bytes,
             body,
+            _account: None,
             refusal: None,
             server: None,
             is_lost: false,
@@ -61,6 +63,15 @@
         }
     }
 
+    /// Holds the memory of the body until the response has been written.
+    #[must_use]
+    pub(crate) fn occupying(self, account: BufferAccount) -> Self {
+        Self {
+            _account: Some(account),
+            ..self
+        }
+    }
+
     /// Names the server that has broken off the connection of the request.
     #[must_use]
     pub(crate) fn lost_at(self, entry: &ServerEntry) -> Self {
@@ -136,15 +147,21 @@
             status,
             log_detail: log_detail.to_owned(),
             head: head.into_bytes(),
-            body: Bytes::new(),
+            body: Body::default(),
+            _account: None,
             refusal: None,
             server: None,
             is_lost: false,
         }
     }
 
-    /// The response in wire format; `keep_alive` tells whether the connection stays open.
-    pub(crate) fn to_bytes(&self, request_id: Option<&str>, keep_alive: bool) -> Vec<u8> {
+    /// The body.
+    pub(crate) fn body(&self) -> &Body {
+        &self.body
+    }
+
+    /// The head in wire format; `keep_alive` tells whether the connection stays open.
+    pub(crate) fn head_bytes(&self, request_id: Option<&str>, keep_alive: bool) -> Vec<u8> {
         let mut bytes = self.head.clone();
         let has_request_id = std::str::from_utf8(&self.head).is_ok_and(|head| {
             head.lines().any(|line| {
@@ -159,7 +176,6 @@
             bytes.extend_from_slice(b"Connection: close\r\n");
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&self.body);
         bytes
     }
 }
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 
 use crate::clock;
-use crate::http::{Connection, within};
+use crate::http::{Body, BufferBudget, Connection, within};
 use crate::lock::lock;
 
 /// Time within which a response has to begin, on top of the time for which the store may delay it.
@@ -193,22 +193,25 @@
             ));
         }
         bytes.push_str("\r\n");
-        let mut bytes = bytes.into_bytes();
-        bytes.extend_from_slice(body);
+        let request_body = Body::from(body.to_vec());
+        // The store is trusted with what it sends; its lists are limited to about 1 MB.
+        let mut account = BufferBudget::new(usize::MAX).open_account();
         let unknown =
             |reason: String| StoreError::Unknown(format!("{reason} on a {origin} connection"));
         let limit = wait + RESPONSE_TIMEOUT;
-        let (head, sent_completely) = timeout(limit, connection.exchange(&bytes, false))
+        let exchange = connection.exchange(bytes.as_bytes(), &request_body, false, &mut account);
+        let (head, sent_completely) = timeout(limit, exchange)
             .await
             .map_err(|_| unknown(format!("no response within {} ms", limit.as_millis())))?
             .map_err(|error| unknown(error.to_string()))?;
         let era = head.headers.get(platform::STORE_ERA);
         let era = era.and_then(platform::read_era).unwrap_or_default();
         self.learn_era(era);
-        let body = connection.read_body(head.framing, RESPONSE_BODY_LIMIT);
+        let body = connection.read_body(head.framing, RESPONSE_BODY_LIMIT, &mut account);
         let body = within(BODY_TIMEOUT, body)
             .await
-            .map_err(|error| unknown(format!("incomplete response: {error}")))?;
+            .map_err(|error| unknown(format!("incomplete response: {error}")))?
+            .into_bytes();
         if head.keep_alive && sent_completely && !connection.has_buffered_data() {
             self.keep(connection);
         }
--- a/crates/front/src/suspects.rs
+++ b/crates/front/src/suspects.rs
@@ -21,7 +21,7 @@
 
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::http::{Connection, HttpError, RequestHead};
+use crate::http::{Body, Connection, HttpError, RequestHead};
 use crate::lock::lock;
 use crate::proxy::Request;
 
@@ -66,7 +66,7 @@
 }
 
 /// Identifies a request that is sent again, whatever its identifier is.
-pub(crate) fn fingerprint(head: &RequestHead, body: &[u8]) -> u64 {
+pub(crate) fn fingerprint(head: &RequestHead, body: &Body) -> u64 {
     let headers = IDENTIFYING_HEADERS.map(|name| head.headers.get(name).unwrap_or_default());
     let mut hash = Xxh3::new();
     for part in [head.method.as_str(), head.target.as_str()]
@@ -76,7 +76,9 @@
         hash.update(&(part.len() as u64).to_le_bytes());
         hash.update(part.as_bytes());
     }
-    hash.update(body);
+    for part in body.parts() {
+        hash.update(part);
+    }
     hash.digest()
 }
 
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod faulty_responses;
 mod leaving_servers;
+mod long_bodies;
 mod odd_entries;
 mod pauses;
 mod restored_store;
