Soak: let the regions lose each other for up to a minute and a half

The soak never kept hosts from each other, nor a whole region from the store, so two leaders could not last in it. Hosts and servers of a region are reached from the other one through proxies of their own now; a cut blocks or resets them in one direction or both for 3 to 90 s, and one region, the other or none loses the store meanwhile. Other faults go on beside it. No check is narrower: links of servers count as disturbed for the checks of limits and pauses, and hosts without the store as they did before.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -18,6 +18,7 @@
 
 use crate::callers::Connections;
 use crate::disturbances::Disturbances;
+use crate::regions::{RegionCut, RegionLinks, heal};
 use crate::server::Server;
 
 /// The failure domains and their regions.
@@ -27,14 +28,23 @@
     ("west-a", "west"),
     ("west-b", "west"),
 ];
+/// The regions; hosts and servers of one may lose those of the other.
+const REGIONS: [&str; 2] = ["east", "west"];
 /// The services, with whether their servers hold keys.
 pub(crate) const SERVICES: [(&str, bool); 2] = [("catalogue", true), ("orders", false)];
 /// Timeout of every route, in milliseconds.
 pub(crate) const ROUTE_TIMEOUT_MS: u64 = 2_000;
 
+fn region_of(name: &str) -> usize {
+    let index = REGIONS.iter().position(|region| *region == name);
+    index.expect("a known region")
+}
+
 /// An entry host that runs as a process.
 pub(crate) struct HostProcess {
     pub(crate) name: String,
+    /// Index of its region.
+    region: usize,
     pub(crate) caller_address: SocketAddr,
     /// The proxy between the host and the store.
     pub(crate) store_proxy: FaultProxy,
@@ -181,6 +191,10 @@
     /// Times in which the store did not answer as it should.
     pub(crate) store_disturbances: Disturbances,
     pub(crate) config_version: u64,
+    links: [RegionLinks; 2],
+    /// What the hosts of each region read in place of the store's own address.
+    store_views: [SocketAddr; 2],
+    region_cut: Option<RegionCut>,
     /// When each version of the configuration was written.
     pub(crate) config_writes: BTreeMap<u64, Instant>,
     work_dir: PathBuf,
@@ -201,6 +215,9 @@
             recorder,
             store_disturbances: Disturbances::default(),
             config_version: 1,
+            links: Default::default(),
+            store_views: [free_address(), free_address()],
+            region_cut: None,
             config_writes: BTreeMap::new(),
             work_dir,
         };
@@ -213,12 +230,59 @@
         for number in 0..hosts {
             deployment.add_host(number).await?;
         }
+        for (region, view) in deployment.store_views.into_iter().enumerate() {
+            let translations = deployment.links[1 - region].translations();
+            deployment
+                .store
+                .serve_translated(view, translations)
+                .await?;
+        }
         for host in &mut deployment.hosts {
             host.start(program)?;
         }
         Ok(deployment)
     }
 
+    /// Lets the regions lose each other, unless they have already.
+    pub(crate) fn cut_regions(&mut self, cut: RegionCut) {
+        if self.region_cut.is_some() {
+            return;
+        }
+        cut.apply(&self.links);
+        self.servers
+            .iter_mut()
+            .for_each(|server| server.disturbances.begin());
+        for host in &mut self.hosts {
+            if cut.storeless == Some(host.region) {
+                host.set_store_fault(LinkFault::BlocksAll);
+            }
+        }
+        self.region_cut = Some(cut);
+    }
+
+    /// Ends the cut between the regions if it is due, or at once.
+    pub(crate) fn heal_regions(&mut self, at_once: bool) {
+        let is_due = |cut: &mut RegionCut| at_once || cut.until <= Instant::now();
+        let Some(cut) = self.region_cut.take_if(is_due) else {
+            return;
+        };
+        heal(&self.links);
+        self.servers
+            .iter_mut()
+            .for_each(|server| server.disturbances.end());
+        for host in &mut self.hosts {
+            if cut.storeless == Some(host.region) {
+                host.set_store_fault(LinkFault::None);
+            }
+        }
+    }
+
+    /// Whether a cut between the regions keeps a host from the store.
+    pub(crate) fn is_storeless(&self, host: &HostProcess) -> bool {
+        let cut = self.region_cut.as_ref();
+        cut.is_some_and(|cut| cut.storeless == Some(host.region))
+    }
+
     async fn add_server(
         &mut self,
         number: usize,
@@ -237,6 +301,10 @@
             listen,
             address: proxy.address(),
         };
+        let region = region_of(DOMAINS[number % DOMAINS.len()].1);
+        self.links[region]
+            .add(proxy.address(), free_address())
+            .await?;
         let upstream =
             FakeUpstream::start(options, self.store.clone(), self.recorder.clone()).await?;
         self.servers.push(Server::new(upstream, proxy));
@@ -246,8 +314,11 @@
     async fn add_host(&mut self, number: usize) -> io::Result<()> {
         let (domain, region) = DOMAINS[number % DOMAINS.len()];
         let name = format!("host-{number}");
-        let store_proxy = FaultProxy::start(free_address(), self.store.address()).await?;
+        let region_index = region_of(region);
+        let store_view = self.store_views[region_index];
+        let store_proxy = FaultProxy::start(free_address(), store_view).await?;
         let (caller_address, ready, peers) = (free_address(), free_address(), free_address());
+        self.links[region_index].add(peers, free_address()).await?;
         let zones: Vec<String> = DOMAINS
             .iter()
             .map(|(domain, region)| format!("{domain} = \"{region}\""))
@@ -278,6 +349,7 @@
         let log_path = self.work_dir.join(format!("{name}.log"));
         let host = HostProcess {
             name,
+            region: region_index,
             caller_address,
             store_proxy,
             settings_path,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use crate::deployment::{DOMAINS, Deployment};
+use crate::regions::RegionCut;
 
 /// Injects one random fault, or clears all of them, and returns a description.
 pub(crate) async fn inject_random_fault(
@@ -21,7 +22,7 @@
     let server = rng.random_range(0..deployment.servers.len());
     let name = deployment.hosts[host].name.clone();
     let id = deployment.servers[server].upstream.options().id.clone();
-    match rng.random_range(0..34) {
+    match rng.random_range(0..37) {
         0..=1 => {
             deployment.hosts[host].signal(Signal::KILL);
             format!("{name}: SIGKILL")
@@ -140,6 +141,11 @@
             deployment.store_disturbances.mark();
             format!("store: restored from a copy {} ms old", age.as_millis())
         }
+        34..=36 => {
+            let cut = random_region_cut(rng);
+            deployment.cut_regions(cut);
+            format!("regions: {cut:?}")
+        }
         _ => {
             clear_faults(deployment, program).await;
             "all faults cleared".to_owned()
@@ -162,6 +168,23 @@
     values[number].clone()
 }
 
+/// A cut of which most last longer than every lease.
+fn random_region_cut(rng: &mut SmallRng) -> RegionCut {
+    let fault = if rng.random() {
+        LinkFault::BlocksAll
+    } else {
+        LinkFault::Reset
+    };
+    let faults = match rng.random_range(0..4) {
+        0 => [fault, LinkFault::None],
+        1 => [LinkFault::None, fault],
+        _ => [fault, fault],
+    };
+    let storeless = [None, Some(0), Some(1)][rng.random_range(0..3)];
+    let length = Duration::from_millis(rng.random_range(3_000..90_000));
+    RegionCut::new(faults, storeless, length)
+}
+
 fn random_link_fault(rng: &mut SmallRng) -> LinkFault {
     let faults = [
         LinkFault::BlocksAll,
@@ -172,7 +195,8 @@
     faults[rng.random_range(0..faults.len())]
 }
 
-/// Clears all faults, resumes paused hosts and starts everything that has ended.
+/// Clears all faults but a cut between the regions, resumes paused hosts and starts everything that has
+/// ended.
 pub(crate) async fn clear_faults(deployment: &mut Deployment, program: &Path) {
     deployment.set_store_fault(StoreFault::None);
     for (domain, _) in DOMAINS {
@@ -185,8 +209,15 @@
             eprintln!("cannot start {}: {error}", server.upstream.options().id);
         }
     }
-    for process in &mut deployment.hosts {
-        process.set_store_fault(LinkFault::None);
+    let storeless: Vec<bool> = deployment
+        .hosts
+        .iter()
+        .map(|host| deployment.is_storeless(host))
+        .collect();
+    for (process, is_storeless) in deployment.hosts.iter_mut().zip(storeless) {
+        if !is_storeless {
+            process.set_store_fault(LinkFault::None);
+        }
         if process.is_paused {
             process.signal(Signal::CONT);
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod disturbances;
 mod faults;
+mod regions;
 mod report;
 mod run;
 mod server;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,6 +84,7 @@
         }
         if now >= faults_end && !faults_cleared {
             faults_cleared = true;
+            deployment.heal_regions(true);
             clear_faults(&mut deployment, program).await;
             report.log_fault("all faults cleared; no more faults follow");
         }
@@ -91,6 +92,7 @@
             last_restart = now;
             restart_ended_hosts(&mut deployment, program);
         }
+        deployment.heal_regions(false);
         deployment.servers.iter_mut().for_each(Server::tick);
         if now >= started + STARTUP_TIME / 2 {
             number += 1;
