Stand-ins: a proxy passes a reset on as a reset

The leader aborts an order after 0.8 s; the first proxy ended its other side in an orderly way, and the second delivered at 34.5 s what it held. On the platform such bytes are lost. The holder's remaining time at each finding puts the arrival of its grant at 34.5 s.

Test: bytes_held_by_a_second_blocked_link_are_lost_when_their_sender_resets failed before, and passes.

--- a/crates/support/src/platform/proxy.rs
+++ b/crates/support/src/platform/proxy.rs
@@ -35,6 +35,13 @@
     Delay(u64),
 }
 
+/// How one side of a connection has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ended {
+    Closed,
+    Reset,
+}
+
 /// A proxy in front of one target address.
 #[derive(Clone, Debug)]
 pub struct FaultProxy {
@@ -120,30 +127,41 @@
         };
         let to_target = Box::pin(self.clone().copy(client.clone(), server.clone(), true));
         let to_client = Box::pin(self.copy(server.clone(), client.clone(), false));
-        futures::future::select(to_target, to_client).await;
-        // When either side closes, both are closed.
+        let ended = futures::future::select(to_target, to_client).await;
+        let (end, _) = ended.factor_first();
+        // When either side closes, both are closed; a reset is passed on as one.
         for stream in [client, server] {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
+            if end == Ended::Reset {
+                let _ = rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO));
+            } else {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
         }
     }
 
-    async fn copy(self, mut from: TcpStream, mut to: TcpStream, to_target: bool) {
+    async fn copy(self, mut from: TcpStream, mut to: TcpStream, to_target: bool) -> Ended {
         let mut chunk = [0; CHUNK_BYTES];
         let silence = self.silence.load(Ordering::Relaxed);
         loop {
             let received = async_std::future::timeout(POLL_INTERVAL, from.read(&mut chunk)).await;
             if matches!(self.fault(), LinkFault::Reset | LinkFault::Refuse) {
-                return;
+                return Ended::Closed;
             }
             if self.silence.load(Ordering::Relaxed) != silence {
                 futures::future::pending::<()>().await;
             }
             let Ok(received) = received else { continue };
-            let Ok(count @ 1..) = received else { return };
+            let count = match received {
+                Ok(0) => return Ended::Closed,
+                Ok(count) => count,
+                Err(_) => return Ended::Reset,
+            };
             loop {
                 match self.fault() {
-                    LinkFault::Reset | LinkFault::Refuse => return,
-                    LinkFault::BlocksAll | LinkFault::BlocksResponses if was_reset(&from) => return,
+                    LinkFault::Reset | LinkFault::Refuse => return Ended::Closed,
+                    LinkFault::BlocksAll | LinkFault::BlocksResponses if was_reset(&from) => {
+                        return Ended::Reset;
+                    }
                     LinkFault::BlocksAll => task::sleep(POLL_INTERVAL).await,
                     LinkFault::BlocksResponses if !to_target => task::sleep(POLL_INTERVAL).await,
                     LinkFault::Delay(millis) => {
@@ -154,7 +172,7 @@
                 }
             }
             if to.write_all(&chunk[..count]).await.is_err() {
-                return;
+                return Ended::Reset;
             }
             if to_target {
                 self.chunks_to_target.fetch_add(1, Ordering::Relaxed);
--- a/crates/support/tests/proxy.rs
+++ b/crates/support/tests/proxy.rs
@@ -50,6 +50,30 @@
     });
 }
 
+// Guards against false findings of the soak: a proxy ended its other side in an orderly way, so that a second
+// one behind it delivered what an aborted order had left there.
+#[test]
+fn bytes_held_by_a_second_blocked_link_are_lost_when_their_sender_resets() {
+    task::block_on(async {
+        let target = TcpListener::bind(free_address()).await.unwrap();
+        let address = target.local_addr().unwrap();
+        let far = FaultProxy::start(free_address(), address).await.unwrap();
+        let near = FaultProxy::start(free_address(), far.address()).await;
+        let mut client = TcpStream::connect(near.unwrap().address()).await.unwrap();
+        let (mut server, _) = target.accept().await.unwrap();
+        far.set_fault(LinkFault::BlocksAll);
+        client.write_all(b"late").await.unwrap();
+        task::sleep(TRANSIT).await;
+        rustix::net::sockopt::set_socket_linger(&client, Some(Duration::ZERO)).unwrap();
+        drop(client);
+        task::sleep(TRANSIT).await;
+
+        far.set_fault(LinkFault::None);
+
+        assert_eq!(read_available(&mut server).await, b"");
+    });
+}
+
 #[test]
 fn bytes_held_by_a_blocked_link_arrive_after_it_if_their_sender_stays() {
     task::block_on(async {
