--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! keys, `orders` sends its grants to servers, and `peers` connects it to the other hosts. `watch`
 //! keeps the router's view of the store up to date through `store`. `reach` notices that this host
 //! reaches no server; `proxy` then passes requests on to one of the `helpers`.
+//! `suspects` refuses requests that crash servers.
 
 mod allowances;
 mod callers;
