Read tenants, uploads and configurations with unreadable parts

Cause: one route of the kind `upload` made every host reject the whole configuration, so that a new deployment served no request at all (E1403 at every host). Keys of tenants were passed on to servers, and requests with keys that no tenant holds were served. Change: `upload` is read as a route with large bodies that must not be repeated. A route or service that cannot be read costs its own requests, which are refused with 503 instead of being matched by a route with a shorter prefix; each is logged as E1403. Where the configuration has tenants, requests need a key unless their route is public, servers get the tenant's name in place of the key, and the tenant's priority and regions apply. Settings for quotas and for overload control are read; nothing uses them yet.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -25,6 +25,7 @@
 mod servers;
 mod settings;
 mod store_revision;
+mod tenant;
 mod transit_delay;
 mod voters;
 mod weighted_split;
@@ -45,12 +46,13 @@
 pub use rate_share::{RateBound, RateShareLimiter};
 pub use retry_budget::RetryBudgetShare;
 pub use router::{
-    AttemptOutcome, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router, RouterSettings,
-    Target,
+    AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router,
+    RouterSettings, Target,
 };
 pub use server_signals::{Departure, LimitSignal, ServerSignals};
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
 pub use settings::FrontSettings;
 pub use store_revision::StoreRevision;
+pub use tenant::{Quota, Tenant, Tenants};
 pub use transit_delay::TransitDelay;
 pub use weighted_split::WeightedSplitter;
--- a/crates/core/src/front/config.rs
+++ b/crates/core/src/front/config.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::tenant::Tenants;
+
 /// One version of the complete configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
@@ -15,6 +17,8 @@
     pub services: BTreeMap<Arc<str>, Service>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// The tenants; `None` if requests need no key.
+    pub tenants: Option<Tenants>,
 }
 
 /// Destination of the requests for one host name and path prefix.
@@ -40,6 +44,10 @@
     pub max_attempts: u32,
     /// Regions whose servers may serve the route; empty if all may.
     pub home_regions: Vec<String>,
+    /// Whether requests need no key of a tenant.
+    pub public: bool,
+    /// Whether requests have large bodies.
+    pub large_bodies: bool,
 }
 
 /// One service's weighted share of a route.
@@ -116,6 +124,16 @@
             routes: routes_by_host,
             services,
             limits,
+            tenants: None,
+        }
+    }
+
+    /// Requires the key of a tenant from all requests of routes that are not public.
+    #[must_use]
+    pub fn with_tenants(self, tenants: Tenants) -> Self {
+        Self {
+            tenants: Some(tenants),
+            ..self
         }
     }
 
@@ -133,6 +151,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether any route takes large bodies.
+    pub fn has_uploads(&self) -> bool {
+        self.routes().any(|route| route.large_bodies)
+    }
+
     /// Iterates over all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -28,7 +28,9 @@
 pub use limits::RateLimitReport;
 use reach::Reach;
 use settling::Settling;
-pub use types::{AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target};
+pub use types::{
+    AttemptOutcome, Credentials, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target,
+};
 
 /// Weight of the latest answer in the baseline latency of its service.
 const BASELINE_WEIGHT: f64 = 0.03;
--- a/crates/core/src/front/router/limits.rs
+++ b/crates/core/src/front/router/limits.rs
@@ -171,7 +171,7 @@
         let Some(state) = self.servers.get_mut(server) else {
             return false;
         };
-        let (phase, priority) = (1.0 - state.tie_break, plan.route.priority);
+        let (phase, priority) = (1.0 - state.tie_break, plan.priority());
         state.allowance_left(now) > 0
             || state
                 .rate_limiter
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -6,9 +6,9 @@
 
 use super::Router;
 use super::types::{
-    MAX_RETRY_AFTER, MIN_RETRY_AFTER, RefusalCause, RoutePlan, RouteRefusal, Target,
+    Credentials, MAX_RETRY_AFTER, MIN_RETRY_AFTER, RefusalCause, RoutePlan, RouteRefusal, Target,
 };
-use crate::front::config::{Route, Service};
+use crate::front::config::Service;
 use crate::front::load::INITIAL_LATENCY;
 use crate::front::rate_share::RateBound;
 use crate::front::servers::ServerState;
@@ -56,9 +56,15 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if no configuration is known or no route matches.
-    pub fn plan(&mut self, now: Time, host: &str, target: &str) -> Result<RoutePlan, RouteRefusal> {
-        let plan = self.plan_relayed(host, target)?;
+    /// Refuses the request if no configuration is known, no route matches or its key is not valid.
+    pub fn plan(
+        &mut self,
+        now: Time,
+        host: &str,
+        target: &str,
+        credentials: Credentials<'_>,
+    ) -> Result<RoutePlan, RouteRefusal> {
+        let plan = self.plan_relayed(host, target, credentials)?;
         self.retry_budget.record_request(now, &plan.service);
         Ok(plan)
     }
@@ -67,8 +73,13 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request if no configuration is known or no route matches.
-    pub fn plan_relayed(&mut self, host: &str, target: &str) -> Result<RoutePlan, RouteRefusal> {
+    /// Refuses the request if no configuration is known, no route matches or its key is not valid.
+    pub fn plan_relayed(
+        &mut self,
+        host: &str,
+        target: &str,
+        credentials: Credentials<'_>,
+    ) -> Result<RoutePlan, RouteRefusal> {
         let Some(config) = self.config.clone() else {
             return Err(RouteRefusal::new(RefusalCause::NoConfig, MAX_RETRY_AFTER));
         };
@@ -78,6 +89,14 @@
                 retry_after: None,
             });
         };
+        let tenants = config.tenants.as_ref();
+        let tenant = tenants.and_then(|tenants| credentials.tenant(tenants));
+        if tenants.is_some() && tenant.is_none() && !route.public {
+            return Err(RouteRefusal {
+                cause: RefusalCause::UnknownKey,
+                retry_after: None,
+            });
+        }
         let Some(service) = self.splitter.next_service(route) else {
             return Err(RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER));
         };
@@ -90,6 +109,8 @@
             service,
             keyed,
             version: config.version,
+            has_tenants: tenants.is_some(),
+            tenant,
         })
     }
 
@@ -232,7 +253,7 @@
             return false;
         };
         let entry = &state.entry;
-        let in_home_region = self.is_home_region(&plan.route, &entry.domain);
+        let in_home_region = self.is_home_region(plan, &entry.domain);
         entry.service == plan.service
             && in_home_region
             && !state.is_drained(now, self.settings.drain)
@@ -241,11 +262,9 @@
             && state.ejected_until <= now
     }
 
-    /// Whether requests of a route may go to servers and hosts of a failure domain.
-    pub fn is_home_region(&self, route: &Route, domain: &str) -> bool {
-        let region = self.settings.regions.get(domain);
-        route.home_regions.is_empty()
-            || region.is_some_and(|region| route.home_regions.contains(region))
+    /// Whether a request may go to servers and hosts of a failure domain.
+    pub fn is_home_region(&self, plan: &RoutePlan, domain: &str) -> bool {
+        plan.allows_region(self.settings.regions.get(domain))
     }
 
     /// Checks that a server can accept one more request of the plan's priority.
@@ -279,7 +298,7 @@
             return Err(RouteRefusal::new(RefusalCause::Cold, KEY_MOVE_TIME));
         }
         let slots = f64::from(state.entry.slots);
-        let queue = MAX_QUEUE_DEPTH - PRIORITY_STEP * f64::from(plan.route.priority);
+        let queue = MAX_QUEUE_DEPTH - PRIORITY_STEP * f64::from(plan.priority());
         let depth = slots + queue.max(MIN_QUEUE_DEPTH);
         let own_limit = (depth * OWN_SHARE_FACTOR / hosts as f64).max(MIN_OWN_REQUESTS);
         let is_probe_under_way = state.is_probed() && state.load.own_in_flight() > 0;
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -6,6 +6,7 @@
 
 use crate::front::config::Route;
 use crate::front::servers::ServerEntry;
+use crate::front::tenant::{Tenant, Tenants};
 use crate::ids::ServerKey;
 use crate::time::Time;
 
@@ -48,6 +49,46 @@
     pub keyed: bool,
     /// Version of the configuration that was used.
     pub version: u64,
+    /// Whether the configuration has tenants, whose keys servers must not get.
+    pub has_tenants: bool,
+    /// The tenant that sends it, if the configuration has tenants and the request names one.
+    pub tenant: Option<Arc<Tenant>>,
+}
+
+impl RoutePlan {
+    /// The priority of the request: the tenant's, or the route's if that has none.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        let priority = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Whether both the route and the tenant allow the request in a region.
+    #[must_use]
+    pub fn allows_region(&self, region: Option<&String>) -> bool {
+        let tenant_homes = self.tenant.iter().map(|tenant| &tenant.home_regions);
+        let mut homes = tenant_homes.chain([&self.route.home_regions]);
+        homes.all(|homes| homes.is_empty() || region.is_some_and(|region| homes.contains(region)))
+    }
+}
+
+/// What a request says of its tenant.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Credentials<'a> {
+    /// The key that the caller sent.
+    pub key: Option<&'a str>,
+    /// The tenant's name, from another host that has checked the key.
+    pub tenant: Option<&'a str>,
+}
+
+impl Credentials<'_> {
+    pub(super) fn tenant(self, tenants: &Tenants) -> Option<Arc<Tenant>> {
+        let tenant = match (self.key, self.tenant) {
+            (Some(key), _) => tenants.of_key(key),
+            (None, name) => tenants.named(name?),
+        };
+        tenant.cloned()
+    }
 }
 
 /// The server that a request is sent to.
@@ -73,6 +114,8 @@
     NoConfig,
     /// No route matches.
     NoRoute,
+    /// The route needs the key of a tenant, and the request has none that is valid.
+    UnknownKey,
     /// No server of the service is eligible.
     NoServer,
     /// No server holds the key now.
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -67,6 +67,15 @@
     pub warm_factor: f64,
     /// Requests per second by which the request rate of a cold server may be exceeded in addition.
     pub warm_slack: f64,
+    /// Whether requests compete for too little capacity, so that the deployment asks for admission by
+    /// priority, deadline and expected work.
+    pub overload_control: bool,
+    /// Window in which the requests of a tenant are compared with its quota.
+    pub quota_window: Duration,
+    /// Fraction by which a quota may be exceeded within the window.
+    pub quota_overshoot: f64,
+    /// Number of requests by which a quota may be exceeded in addition.
+    pub quota_slack: f64,
 }
 
 impl FrontSettings {
--- a/crates/core/tests/front/departures.rs
+++ b/crates/core/tests/front/departures.rs
@@ -6,7 +6,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, Departure, RefusalCause, RoutePlan, Router, ServerEntry, ServerSignals, Target,
+    AttemptOutcome, Credentials, Departure, RefusalCause, RoutePlan, Router, ServerEntry,
+    ServerSignals, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -30,7 +31,9 @@
 }
 
 fn plan(router: &mut Router, path: &str) -> RoutePlan {
-    router.plan(at(0), "shop", path).unwrap()
+    router
+        .plan(at(0), "shop", path, Credentials::default())
+        .unwrap()
 }
 
 /// The server that a request is sent to, which answers at once.
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -57,6 +57,8 @@
         }],
         max_attempts: 2,
         home_regions: Vec::new(),
+        public: false,
+        large_bodies: false,
     }
 }
 
--- a/crates/core/tests/front/many_hosts.rs
+++ b/crates/core/tests/front/many_hosts.rs
@@ -10,7 +10,7 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, LoadReport, RoutePlan, Router, ServerEntry, Target,
+    AttemptOutcome, Credentials, LoadReport, RoutePlan, Router, ServerEntry, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -67,7 +67,12 @@
             router
         };
         let mut hosts: Vec<Router> = (0..HOSTS).map(host).collect();
-        let plan = hosts[0].plan(Time::from_millis(1_000), "shop", "/o/");
+        let plan = hosts[0].plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        );
         Self {
             rng: SmallRng::seed_from_u64(seed),
             hosts,
--- a/crates/core/tests/front/odd_entries.rs
+++ b/crates/core/tests/front/odd_entries.rs
@@ -7,8 +7,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, ClusterState, Granter, GranterTiming, LoadReport, Order, Placement,
-    ServerChanges, ServerEntry, Servers, first_term,
+    AttemptOutcome, ClusterState, Credentials, Granter, GranterTiming, LoadReport, Order,
+    Placement, ServerChanges, ServerEntry, Servers, first_term,
 };
 use yare::parameterized;
 
@@ -95,7 +95,9 @@
 #[test]
 fn load_beyond_all_numbers_marks_a_server_as_full() {
     let mut router = host_before("h1", &["a"]);
-    let plan = router.plan(at(0), "shop", "/o/").unwrap();
+    let plan = router
+        .plan(at(0), "shop", "/o/", Credentials::default())
+        .unwrap();
     router.set_hosts(100);
     let report = LoadReport {
         running: u32::MAX,
--- a/crates/core/tests/front/pauses.rs
+++ b/crates/core/tests/front/pauses.rs
@@ -5,7 +5,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, RefusalCause, RoutePlan, RouteRefusal, Router, ServerSignals, Target,
+    AttemptOutcome, Credentials, RefusalCause, RoutePlan, RouteRefusal, Router, ServerSignals,
+    Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -24,7 +25,9 @@
 }
 
 fn plan(router: &mut Router, path: &str) -> RoutePlan {
-    router.plan(at(0), "shop", path).unwrap()
+    router
+        .plan(at(0), "shop", path, Credentials::default())
+        .unwrap()
 }
 
 fn select(router: &mut Router, now: Time, plan: &RoutePlan) -> Result<Target, RouteRefusal> {
--- a/crates/core/tests/front/rate_limits.rs
+++ b/crates/core/tests/front/rate_limits.rs
@@ -6,8 +6,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, DemandShares, LimitSignal, RateLimit, RateLimitReport, RatePool, RefusalCause,
-    RoutePlan, Router, RoutingSpan, RoutingTable, ServerSignals, Target,
+    AttemptOutcome, Credentials, DemandShares, LimitSignal, RateLimit, RateLimitReport, RatePool,
+    RefusalCause, RoutePlan, Router, RoutingSpan, RoutingTable, ServerSignals, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -108,7 +108,12 @@
             router
         };
         let mut hosts: Vec<Router> = (0..weights.len()).map(host).collect();
-        let plan = hosts[0].plan(Time::from_millis(START_MS), "shop", "/r/x");
+        let plan = hosts[0].plan(
+            Time::from_millis(START_MS),
+            "shop",
+            "/r/x",
+            Credentials::default(),
+        );
         Self {
             rng: SmallRng::seed_from_u64(seed),
             weights: weights.to_vec(),
@@ -331,7 +336,9 @@
     let mut entry = server("o1", "orders", "east-a", start_id);
     entry.slots = 100;
     router.replace_servers(now, vec![entry], &[]);
-    let plan = router.plan(now, "shop", "/p/x").unwrap();
+    let plan = router
+        .plan(now, "shop", "/p/x", Credentials::default())
+        .unwrap();
     let target = router
         .select_server(now, &plan, None, &[], 0, Duration::from_secs(2))
         .unwrap();
--- a/crates/core/tests/front/reach.rs
+++ b/crates/core/tests/front/reach.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{AttemptOutcome, Router, Target};
+use amaranthshunt_core::front::{AttemptOutcome, Credentials, Router, Target};
 
 use crate::fixture::{config, route, router, server};
 
@@ -26,7 +26,9 @@
 }
 
 fn send(router: &mut Router, now: Time) -> Target {
-    let plan = router.plan(now, "shop", "/o/").unwrap();
+    let plan = router
+        .plan(now, "shop", "/o/", Credentials::default())
+        .unwrap();
     let time_left = Duration::from_secs(2);
     router
         .select_server(now, &plan, None, &[], 0, time_left)
--- a/crates/core/tests/front/restored_store.rs
+++ b/crates/core/tests/front/restored_store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Router, ServerEntry};
+use amaranthshunt_core::front::{Credentials, Router, ServerEntry};
 
 use crate::fixture::{config, route, router, server};
 
@@ -27,7 +27,9 @@
 
 /// Whether a request is sent to one of the servers.
 fn serves(router: &mut Router, now: Time) -> bool {
-    let plan = router.plan(now, "shop", "/o/").unwrap();
+    let plan = router
+        .plan(now, "shop", "/o/", Credentials::default())
+        .unwrap();
     let time_left = std::time::Duration::from_secs(2);
     router
         .select_server(now, &plan, None, &[], 0, time_left)
--- a/crates/core/tests/front/routes.rs
+++ b/crates/core/tests/front/routes.rs
@@ -6,7 +6,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    RefusalCause, RoutingSpan, RoutingTable, WeightedService, WeightedSplitter,
+    Credentials, RefusalCause, RoutingSpan, RoutingTable, Tenant, Tenants, WeightedService,
+    WeightedSplitter,
 };
 use yare::parameterized;
 
@@ -84,7 +85,12 @@
     assert!(!replaced);
     assert_eq!(
         router
-            .plan(Time::from_millis(1_000), "shop", "/x")
+            .plan(
+                Time::from_millis(1_000),
+                "shop",
+                "/x",
+                Credentials::default()
+            )
             .unwrap()
             .route
             .name,
@@ -95,7 +101,12 @@
 #[test]
 fn a_host_without_a_configuration_tells_callers_to_retry() {
     let refusal = router()
-        .plan(Time::from_millis(1_000), "shop", "/x")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/x",
+            Credentials::default(),
+        )
         .unwrap_err();
 
     assert_eq!(refusal.cause, RefusalCause::NoConfig);
@@ -109,7 +120,14 @@
     home.home_regions = vec!["east".to_owned()];
     router.update_config(Arc::new(config(1, vec![home])));
     router.replace_servers(NOW, vec![server("w1", "orders", "west-a", 1)], &[]);
-    let plan = router.plan(Time::from_millis(1_000), "shop", "/x").unwrap();
+    let plan = router
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/x",
+            Credentials::default(),
+        )
+        .unwrap();
 
     let refusal = router
         .select_server(NOW, &plan, None, &[], 0, Duration::from_secs(1))
@@ -157,3 +175,73 @@
     assert_eq!(changes[&Arc::from("catalogue")].len(), 2);
     assert_eq!(updated, after);
 }
+
+/// Two tenants, the first of which may be served in one region only.
+fn tenants() -> Tenants {
+    let mut tenants = Tenants::default();
+    let acme = Tenant {
+        name: Arc::from("acme"),
+        priority: Some(0),
+        home_regions: vec!["west".to_owned()],
+        ..Tenant::default()
+    };
+    tenants.insert(acme, vec!["k1".to_owned()]);
+    let other = Tenant {
+        name: Arc::from("other"),
+        ..Tenant::default()
+    };
+    tenants.insert(other, vec!["k2".to_owned()]);
+    tenants
+}
+
+#[parameterized(
+    valid_key = { "/o/", Some("k1"), None, Ok(Some("acme")) },
+    unknown_key = { "/o/", Some("k9"), None, Err(RefusalCause::UnknownKey) },
+    unknown_key_with_the_name_of_a_tenant = { "/o/", Some("k9"), Some("acme"), Err(RefusalCause::UnknownKey) },
+    no_key = { "/o/", None, None, Err(RefusalCause::UnknownKey) },
+    checked_by_another_host = { "/o/", None, Some("other"), Ok(Some("other")) },
+    no_route_comes_before_no_key = { "/x/", None, None, Err(RefusalCause::NoRoute) },
+    public_without_key = { "/p/", None, None, Ok(None) },
+    public_with_key = { "/p/", Some("k2"), None, Ok(Some("other")) },
+)]
+fn a_request_needs_the_key_of_a_tenant(
+    path: &str,
+    key: Option<&str>,
+    tenant: Option<&str>,
+    expected: Result<Option<&str>, RefusalCause>,
+) {
+    let mut router = router();
+    let mut open = route("open", "/p/", "orders");
+    open.public = true;
+    let routes = vec![route("plain", "/o/", "orders"), open];
+    router.update_config(Arc::new(config(9, routes).with_tenants(tenants())));
+
+    let plan = router.plan(NOW, "shop", path, Credentials { key, tenant });
+
+    let found = plan.map(|plan| plan.tenant.map(|tenant| tenant.name.to_string()));
+    let found = found.map_err(|refusal| refusal.cause);
+    assert_eq!(found, expected.map(|name| name.map(str::to_owned)));
+}
+
+/// A request could otherwise leave the regions of its tenant because its route has none.
+#[parameterized(
+    only_the_tenant = { &[], "west", true },
+    outside_the_tenant = { &[], "east", false },
+    both = { &["west", "east"], "west", true },
+    outside_the_route = { &["east"], "west", false },
+)]
+fn regions_of_route_and_tenant_both_bind(homes: &[&str], region: &str, allowed: bool) {
+    let mut router = router();
+    let mut plain = route("plain", "/o/", "orders");
+    plain.home_regions = homes.iter().map(|home| (*home).to_owned()).collect();
+    router.update_config(Arc::new(config(9, vec![plain]).with_tenants(tenants())));
+    let credentials = Credentials {
+        key: Some("k1"),
+        tenant: None,
+    };
+
+    let plan = router.plan(NOW, "shop", "/o/", credentials).unwrap();
+
+    assert_eq!(plan.allows_region(Some(&region.to_owned())), allowed);
+    assert_eq!(plan.priority(), 0);
+}
--- a/crates/core/tests/front/servers.rs
+++ b/crates/core/tests/front/servers.rs
@@ -6,8 +6,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    AttemptOutcome, LoadReport, RefusalCause, RoutePlan, RouteRefusal, Router, RoutingSpan,
-    RoutingTable, ServerEntry, Target,
+    AttemptOutcome, Credentials, LoadReport, RefusalCause, RoutePlan, RouteRefusal, Router,
+    RoutingSpan, RoutingTable, ServerEntry, Target,
 };
 
 use yare::parameterized;
@@ -51,7 +51,12 @@
         server("near", "orders", "east-a", 1),
     ]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
 
     let chosen: Vec<String> = (0..8)
@@ -75,7 +80,12 @@
 fn a_full_server_gets_no_more_requests_and_callers_get_a_retry_time() {
     let mut router = initialized_router(vec![server("a", "orders", "east-a", 1)]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
 
     let sent = (0..50)
@@ -95,7 +105,12 @@
 fn requests_of_other_hosts_count_as_load() {
     let mut router = initialized_router(vec![server("a", "orders", "east-a", 1)]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
     let report = LoadReport {
         running: 4,
@@ -129,7 +144,12 @@
         server("c", "orders", "west-a", 1),
     ]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
 
     router.upsert_server(at(10), draining);
@@ -144,7 +164,12 @@
 fn an_entry_that_expired_in_an_outage_has_two_seconds_to_return() {
     let mut router = initialized_router(vec![server("a", "orders", "east-a", 1)]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
     router.extend_reregistration(at(1_000));
     router.remove_server(at(1_100), "a");
@@ -172,7 +197,12 @@
     let mut stale = server("a", "orders", "east-a", 4);
     stale.draining = true;
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
 
     router.upsert_server(at(10), stale);
@@ -187,7 +217,12 @@
     router.remove_server(at(5), "old");
     router.upsert_server(at(10), server("new", "orders", "east-a", 1));
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
 
     // The share of one of four hosts of 10 x 1.5 + 5 - 1 requests per second.
@@ -211,7 +246,12 @@
 fn an_unreachable_server_is_ejected_and_then_counts_as_cold() {
     let mut router = initialized_router(vec![server("a", "orders", "east-a", 1)]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
     let target = send(&mut router, at(0), &plan, None).unwrap();
 
@@ -236,7 +276,12 @@
         server("b", KEYED, "east-b", 1),
     ]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/k/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/k/",
+            Credentials::default(),
+        )
         .unwrap();
     let spans = vec![
         RoutingSpan {
@@ -296,7 +341,12 @@
         server("far", "orders", "east-b", 1),
     ]);
     let plan = router
-        .plan(Time::from_millis(1_000), "shop", "/o/")
+        .plan(
+            Time::from_millis(1_000),
+            "shop",
+            "/o/",
+            Credentials::default(),
+        )
         .unwrap();
     let target = send(&mut router, at(0), &plan, None).unwrap();
     assert_eq!(&*target.entry.id, "near");
@@ -312,7 +362,9 @@
 #[test]
 fn a_server_that_ends_new_connections_counts_as_full() {
     let mut router = initialized_router(vec![server("a", "orders", "west-a", 1)]);
-    let plan = router.plan(at(0), "shop", "/o/").unwrap();
+    let plan = router
+        .plan(at(0), "shop", "/o/", Credentials::default())
+        .unwrap();
 
     let first = send(&mut router, at(0), &plan, None).unwrap();
     router.record_outcome(at(100), &first, AttemptOutcome::Saturated, None);
@@ -327,7 +379,9 @@
 #[test]
 fn failed_responses_do_not_shorten_a_longer_ejection() {
     let mut router = initialized_router(vec![server("a", "orders", "east-a", 1)]);
-    let plan = router.plan(at(0), "shop", "/o/").unwrap();
+    let plan = router
+        .plan(at(0), "shop", "/o/", Credentials::default())
+        .unwrap();
     let targets: Vec<Target> = (0..6)
         .map(|_| send(&mut router, at(0), &plan, None).unwrap())
         .collect();
@@ -356,7 +410,9 @@
     let mut slow = route("slow", "/slow/", "orders");
     slow.target_latency = Duration::from_millis(target);
     router.update_config(Arc::new(config(2, vec![slow])));
-    let plan = router.plan(at(0), "shop", "/slow/").unwrap();
+    let plan = router
+        .plan(at(0), "shop", "/slow/", Credentials::default())
+        .unwrap();
     for _ in 0..5 {
         send(&mut router, at(0), &plan, None).unwrap();
     }
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use amaranthshunt_core::front::{Limits, RefusalCause, RoutePlan, RouteRefusal};
+use amaranthshunt_core::front::{Credentials, Limits, RefusalCause, RoutePlan, RouteRefusal};
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform as platform;
 use async_std::net::TcpListener;
@@ -224,21 +224,22 @@
         cause: RefusalCause::Leaving,
         retry_after: Some(SHUTDOWN_RETRY_AFTER),
     };
+    let credentials = credentials(&head, sender);
     let plan_result = if host.refuses_requests() {
         Err(leaving)
     } else {
         host.with_router(|router, now| match sender {
-            Sender::Caller => router.plan(now, &authority, &head.target),
+            Sender::Caller => router.plan(now, &authority, &head.target, credentials),
             Sender::Host if !router.reaches_servers() => Err(RouteRefusal {
                 cause: RefusalCause::NoReach,
                 retry_after: None,
             }),
-            Sender::Host => router.plan_relayed(&authority, &head.target),
+            Sender::Host => router.plan_relayed(&authority, &head.target, credentials),
         })
     };
     let response = match plan_result {
         Err(refusal) => Some(refuse_request(host, &id, refusal)),
-        Ok(plan) if host.delay().sheds(plan.route.priority) => {
+        Ok(plan) if host.delay().sheds(plan.priority()) => {
             let refusal = RouteRefusal {
                 cause: RefusalCause::HostOverloaded,
                 retry_after: Some(host.delay().estimate().min(MAX_OVERLOAD_RETRY_AFTER)),
@@ -284,6 +285,18 @@
     keep_alive && matches!(written, Ok(Ok(())))
 }
 
+/// What a request says of its tenant. A name is taken from another host only.
+fn credentials(head: &RequestHead, sender: Sender) -> Credentials<'_> {
+    let authorization = head.headers.get(platform::AUTHORIZATION);
+    Credentials {
+        key: authorization.and_then(platform::read_api_key),
+        tenant: match sender {
+            Sender::Caller => None,
+            Sender::Host => head.headers.get(platform::TENANT_ID),
+        },
+    }
+}
+
 /// Whether a request must be refused because the host is shutting down: it could still be running
 /// when all requests have to be answered, and its outcome would then stay unknown. One that may be
 /// repeated is only given less time.
@@ -364,7 +377,7 @@
 ) {
     let counters = &host.counters;
     match response.status {
-        503 | 404 => counters.refused.add(),
+        401 | 404 | 503 => counters.refused.add(),
         502 | 504 => counters.doubtful.add(),
         _ => counters.answered.add(),
     }
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -86,18 +86,25 @@
     fn head_bytes(&self, remaining: Duration, header: &str, value: &str) -> Vec<u8> {
         let Self { head, body, .. } = self;
         let mut bytes = format!("{} {} HTTP/1.1\r\n", head.method, head.target).into_bytes();
-        let replaced = [
+        let mut replaced = vec![
             platform::REQUEST_DEADLINE,
             platform::TARGET_INSTANCE,
             relay::SENDS,
             "expect",
         ];
+        if self.plan.has_tenants {
+            replaced.extend([platform::AUTHORIZATION, platform::TENANT_ID]);
+        }
         head.headers.write_end_to_end(&mut bytes, &replaced);
-        let mut own_headers = format!(
+        let mut own_headers = String::new();
+        if let Some(tenant) = &self.plan.tenant {
+            own_headers.push_str(&format!("{}: {}\r\n", platform::TENANT_ID, tenant.name));
+        }
+        own_headers.push_str(&format!(
             "{}: {}\r\n{header}: {value}\r\n",
             platform::REQUEST_DEADLINE,
             remaining.as_millis(),
-        );
+        ));
         if !body.is_empty()
             || head.headers.contains("content-length")
             || head.headers.contains("transfer-encoding")
--- a/crates/front/src/proxy/relay.rs
+++ b/crates/front/src/proxy/relay.rs
@@ -130,7 +130,7 @@
     let own_domain = &host.settings.domain;
     host.with_router(|router, _| {
         host.helpers.choose(excluded, |domain| {
-            if !router.is_home_region(&request.plan.route, domain) {
+            if !router.is_home_region(&request.plan, domain) {
                 None
             } else if domain == own_domain {
                 Some(Distance::Domain)
@@ -200,6 +200,7 @@
         RefusalCause::NoReach,
         RefusalCause::NoConfig,
         RefusalCause::NoRoute,
+        RefusalCause::UnknownKey,
     ];
     if own_causes.iter().any(|own| format!("{own:?}") == cause) {
         return RelayResult::Unavailable;
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -115,10 +115,10 @@
 
     /// Refuses a request that has not run, with the time after which the caller may retry.
     pub(crate) fn refused(refusal: RouteRefusal) -> Self {
-        let status = if refusal.cause == RefusalCause::NoRoute {
-            404
-        } else {
-            503
+        let status = match refusal.cause {
+            RefusalCause::NoRoute => 404,
+            RefusalCause::UnknownKey => 401,
+            _ => 503,
         };
         let detail = format!("refused: {:?}", refusal.cause);
         Self {
@@ -131,6 +131,7 @@
     pub(crate) fn generated(status: u16, retry_after: Option<Duration>, log_detail: &str) -> Self {
         let reason = match status {
             400 => "Bad Request",
+            401 => "Unauthorized",
             404 => "Not Found",
             408 => "Request Timeout",
             413 => "Content Too Large",
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -11,7 +11,7 @@
 
 use amaranthshunt_core::front::{RelayStatus, ServerChanges, ServerEntry, StoreRevision};
 use amaranthshunt_core::log::EventCode;
-use amaranthshunt_platform::{self as platform, Change, Kind, StoreObject};
+use amaranthshunt_platform::{self as platform, Change, Kind, ParsedConfig, StoreObject};
 use async_std::task;
 use futures::future::{Either, select};
 
@@ -457,13 +457,20 @@
 
 fn apply_config(host: &EntryHost, object: &StoreObject) {
     match platform::read_config(&object.spec) {
-        Ok(config) => {
+        Ok(ParsedConfig { config, findings }) => {
             let version = format!("r{}", config.version);
             let routes = config.routes().count();
             if host.with_router(|router, _| router.update_config(Arc::new(config))) {
                 let age = host.copy_age(platform::CONFIG).as_millis();
                 let detail = format!("{routes} routes, previous copy complete {age} ms ago");
                 host.log(EventCode::ConfigInForce, version, detail);
+                for finding in findings {
+                    host.log(
+                        EventCode::ObjectUnreadable,
+                        &object.name,
+                        finding.to_string(),
+                    );
+                }
             }
         }
         Err(message) => host.log(EventCode::ObjectUnreadable, &object.name, message),
