Count the time that a change is missing from its first announcement

Cause: a host that has missed a change reads the store 400 ms after the leader has announced it, but each later announcement restarted that time. Under a steady stream of changes, with heartbeats each 500 ms, a host counted as behind for 100 ms at a time, and hosts in other regions than the store's mostly gave up their calls before the response. Change: while an announced change is missing, later announcements keep the time of the first one.

--- a/crates/core/src/front/freshness.rs
+++ b/crates/core/src/front/freshness.rs
@@ -103,8 +103,12 @@
     /// answered the leader, including what the leader's message was delayed on its way.
     pub fn record_announcement(&mut self, now: Time, change: StoreRevision, age: Duration) {
         if change > self.announced {
+            // While an earlier change is missing, the time counts from that one: under a steady stream
+            // of changes, a host would otherwise never count as behind for long enough to read them.
+            if self.announced <= self.complete {
+                self.announced_at = now;
+            }
             self.announced = change;
-            self.announced_at = now;
         }
         let confirmed_at =
             Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
--- a/crates/core/tests/front/freshness.rs
+++ b/crates/core/tests/front/freshness.rs
@@ -87,6 +87,35 @@
     assert!(freshness.is_behind(at(100)));
 }
 
+/// Each announcement once restarted the time in which a missing change may arrive, so that a host that had
+/// missed one while it changed its leader read it only when the changes paused, seconds later.
+#[test]
+fn a_missing_change_is_read_although_later_ones_are_announced() {
+    let mut freshness = confirmed_at_start();
+    for heartbeat in 0..4 {
+        let change = rev(150 + heartbeat * 10);
+        freshness.record_announcement(at(heartbeat * 500), change, Duration::ZERO);
+    }
+
+    let behind = [399, 400, 900, 1_550].map(|millis| freshness.is_behind(at(millis)));
+
+    assert_eq!(behind, [false, true, true, true]);
+}
+
+/// A host that gets every change, each a moment after the leader has announced it, needs no calls.
+#[test]
+fn changes_that_arrive_in_time_do_not_count_as_missing() {
+    let mut freshness = confirmed_at_start();
+    for heartbeat in 0..4 {
+        let (last, next) = (rev(100 + heartbeat * 10), rev(110 + heartbeat * 10));
+        freshness.record_announcement(at(heartbeat * 500), next, Duration::ZERO);
+        assert!(!freshness.is_behind(at(heartbeat * 500 + 300)));
+        freshness.record_relay(last, next);
+    }
+
+    assert!(!freshness.is_behind(at(3_000)));
+}
+
 #[test]
 fn older_changes_from_a_new_leader_are_ignored() {
     let mut freshness = confirmed_at_start();
