Soak: tenants, uploads and pipelined reads

Cause: the soak sent nothing that the new parts of a configuration ask for. Change: two tenants and a key that none holds, an upload route, reads pipelined on one connection, and hosts with overload control; `--plain` leaves them out for earlier builds. Servers' records tell the tenant of each run and whether the caller's key came with it.

--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -17,7 +17,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use amaranthshunt_soak::{Size, run_soak};
+use amaranthshunt_soak::{Size, Workload, run_soak};
 use amaranthshunt_support::free_address;
 use amaranthshunt_support::platform::{LinkFault, StoreFault, UpstreamFault};
 use async_std::io::WriteExt;
@@ -299,6 +299,7 @@
         7,
         Duration::from_secs(30),
         Size::Small,
+        Workload::Full,
     ));
 
     let report = result.unwrap();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,12 +8,17 @@
 use futures::FutureExt as _;
 use http_types::{Method, Request, Url};
 
+use crate::tenants;
+
 /// Time for which a caller waits for its answer.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
+pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Longest time for which callers use an idle connection: four fifths of the hosts' limit.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(12);
 
+/// Body of an upload, in bytes.
+const UPLOAD_BYTES: usize = 60_000;
+
 /// The kind of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RequestKind {
@@ -27,6 +32,10 @@
     Version(u64),
     /// A read on a route that the newest version has removed.
     RemovedVersion(u64),
+    /// A payment with a large body; it must run at most once.
+    Upload,
+    /// A read with a key that no tenant holds; it must not run.
+    UnknownKey,
 }
 
 /// A request and its result.
@@ -43,6 +52,21 @@
     pub(crate) is_signed: bool,
 }
 
+impl RequestResult {
+    /// A request without an answer yet.
+    pub(crate) fn unanswered(id: String, kind: RequestKind, host: usize, sent_at: Instant) -> Self {
+        Self {
+            id,
+            kind,
+            host,
+            sent_at,
+            ended_at: sent_at,
+            answer: None,
+            is_signed: false,
+        }
+    }
+}
+
 /// Connections to a host that callers have kept open.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Connections {
@@ -91,13 +115,10 @@
     let is_signed = answer.as_ref().is_some_and(|(_, _, is_signed)| *is_signed);
     let answer = answer.map(|(status, body, _)| (status, body));
     RequestResult {
-        id,
-        kind,
-        host,
-        sent_at,
         ended_at: Instant::now(),
         answer,
         is_signed,
+        ..RequestResult::unanswered(id, kind, host, sent_at)
     }
 }
 
@@ -109,9 +130,10 @@
     key: u16,
 ) -> Option<(u16, String, bool)> {
     let (method, path) = match kind {
-        RequestKind::Read => (Method::Get, "/read/x".to_owned()),
+        RequestKind::Read | RequestKind::UnknownKey => (Method::Get, "/read/x".to_owned()),
         RequestKind::Pay => (Method::Post, "/pay/x".to_owned()),
         RequestKind::Home => (Method::Post, "/home/x".to_owned()),
+        RequestKind::Upload => (Method::Post, "/upload/x".to_owned()),
         RequestKind::Version(version) | RequestKind::RemovedVersion(version) => {
             (Method::Get, format!("/v{version}/x"))
         }
@@ -125,7 +147,11 @@
         CALLER_TIMEOUT.as_millis().to_string(),
     );
     request.insert_header("Shard-Key", key.to_string());
-    if method == Method::Post {
+    let credentials = format!("Bearer {}", tenants::key(kind, id));
+    request.insert_header("Authorization", credentials);
+    if kind == RequestKind::Upload {
+        request.set_body(vec![b'u'; UPLOAD_BYTES]);
+    } else if method == Method::Post {
         request.set_body(format!("order of {id}"));
     }
     let stream = connections.take(address).await?;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -19,7 +19,9 @@
 use crate::callers::Connections;
 use crate::disturbances::Disturbances;
 use crate::regions::{RegionCut, RegionLinks, heal};
+use crate::run::Workload;
 use crate::server::Server;
+use crate::tenants;
 
 /// The failure domains and their regions.
 pub(crate) const DOMAINS: [(&str, &str); 4] = [
@@ -198,11 +200,17 @@
     /// When each version of the configuration was written.
     pub(crate) config_writes: BTreeMap<u64, Instant>,
     work_dir: PathBuf,
+    pub(crate) workload: Workload,
 }
 
 impl Deployment {
     /// Starts the store, the servers and the hosts.
-    pub(crate) async fn start(program: &Path, hosts: usize, servers: usize) -> io::Result<Self> {
+    pub(crate) async fn start(
+        program: &Path,
+        hosts: usize,
+        servers: usize,
+        workload: Workload,
+    ) -> io::Result<Self> {
         let work_dir =
             std::env::temp_dir().join(format!("amaranthshunt-soak-{}", std::process::id()));
         fs::create_dir_all(&work_dir)?;
@@ -220,6 +228,7 @@
             region_cut: None,
             config_writes: BTreeMap::new(),
             work_dir,
+            workload,
         };
         deployment.write_next_config();
         for number in 0..servers {
@@ -323,12 +332,17 @@
             .iter()
             .map(|(domain, region)| format!("{domain} = \"{region}\""))
             .collect();
+        let contracts = match self.workload {
+            Workload::Full => "\"pressure\"",
+            Workload::Plain => "",
+        };
         let text = format!(
             r#"Node = "{name}"
 Ip = "{}"
 Zone = "{domain}"
 Region = "{region}"
 InternalPorts = [{}, {}]
+Contracts = [{contracts}]
 Bounds = ["GraceS=6","DrainMs=2500","MaxHoldMs=10000","RetryBudgetRatio=0.2","BudgetSlack=58","WarmupOvershoot=1.5","WarmupSlack=5"]
 [Zones]
 {}
@@ -385,18 +399,24 @@
         };
         let service = |sharded: bool| json!({ "HealthPath": "/health", "MaxConnections": 200, "WarmupS": 1.0, "WarmupPerS": 60, "Sharded": sharded });
         let newest = format!("/v{}/", self.config_version);
-        let routes: Value = json!({
+        let mut routes: Value = json!({
             "read": route("/read/", "catalogue", "safe", &[]),
             "pay": route("/pay/", "orders", "unsafe", &[]),
             "home": route("/home/", "orders", "unsafe", &["east"]),
             "newest": route(&newest, "orders", "safe", &[]),
         });
-        let spec = json!({
+        if self.workload == Workload::Full {
+            routes["upload"] = route("/upload/", "orders", "upload", &[]);
+        }
+        let mut spec = json!({
             "Version": format!("r{}", self.config_version),
             "Routes": routes,
             "Services": { "catalogue": service(true), "orders": service(false) },
             "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 1_048_576, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000 },
         });
+        if self.workload == Workload::Full {
+            spec["Tenants"] = tenants::section();
+        }
         self.store.put("config", "main", spec, Value::Null);
         let now = Instant::now();
         self.config_writes.insert(self.config_version, now);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,11 +9,13 @@
 mod deployment;
 mod disturbances;
 mod faults;
+mod pipeline;
 mod regions;
 mod report;
 mod run;
 mod server;
 mod signals;
+mod tenants;
 
 pub use report::Report;
-pub use run::{Size, run_soak};
+pub use run::{Size, Workload, run_soak};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use amaranthshunt_soak::{Size, run_soak};
+use amaranthshunt_soak::{Size, Workload, run_soak};
 use getopts::Options;
 use miette::{IntoDiagnostic, miette};
 
@@ -41,6 +41,11 @@
     );
     options.optflag("", "large", "use four times as many hosts and servers");
     options.optflag("", "huge", "use sixteen times as many hosts and servers");
+    options.optflag(
+        "",
+        "plain",
+        "leave out tenants, uploads, pipelined requests and overload control, which earlier builds lack",
+    );
     options.optflag("h", "help", "print this help and exit");
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let matches = options.parse(&arguments).into_diagnostic()?;
@@ -68,8 +73,13 @@
     } else {
         Size::Small
     };
-    let result =
-        async_std::task::block_on(run_soak(&program, seed, Duration::from_secs(seconds), size));
+    let workload = if matches.opt_present("plain") {
+        Workload::Plain
+    } else {
+        Workload::Full
+    };
+    let time = Duration::from_secs(seconds);
+    let result = async_std::task::block_on(run_soak(&program, seed, time, size, workload));
     let report = result.into_diagnostic()?;
     print!("{report}");
     Ok(report.is_clean())
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -7,7 +7,9 @@
 use crate::callers::{RequestKind, RequestResult};
 use crate::checks::{exceeded_limits, outdated_configuration};
 use crate::deployment::{DOMAINS, Deployment, ROUTE_TIMEOUT_MS};
+use crate::run::Workload;
 use crate::signals::ignored_signals;
+use crate::tenants::mistaken_tenants;
 
 /// Time past a route's timeout within which a caller must have its answer; leaves room for a busy
 /// machine.
@@ -22,6 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct Report {
     seed: u64,
+    workload: Workload,
     /// Start of the run, from which its times count.
     started: Instant,
     faults: Vec<String>,
@@ -31,9 +34,10 @@
 }
 
 impl Report {
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, workload: Workload) -> Self {
         Self {
             seed,
+            workload,
             started: Instant::now(),
             faults: Vec::new(),
             findings: Vec::new(),
@@ -63,6 +67,10 @@
         self.findings.extend(limits);
         let signals = ignored_signals(deployment, results);
         self.findings.extend(signals.into_iter().take(MAX_SHOWN));
+        if self.workload == Workload::Full {
+            let mistaken = mistaken_tenants(&all_executions, results);
+            self.findings.extend(mistaken.into_iter().take(MAX_SHOWN));
+        }
         let mut executions: BTreeMap<String, Vec<String>> = BTreeMap::new();
         for execution in all_executions {
             executions
@@ -121,7 +129,11 @@
         results: &[RequestResult],
         recovered_by: Instant,
     ) {
-        for kind in ["Read", "Pay", "Home", "Version"] {
+        let kinds: &[&str] = match self.workload {
+            Workload::Full => &["Read", "Pay", "Home", "Version", "Upload", "UnknownKey"],
+            Workload::Plain => &["Read", "Pay", "Home", "Version"],
+        };
+        for kind in kinds {
             let matching = results.iter().filter(|request| {
                 request.sent_at >= recovered_by && format!("{:?}", request.kind).starts_with(kind)
             });
@@ -146,8 +158,13 @@
     }
 }
 
+/// Whether a request was answered as it should be.
 fn is_served(request: &RequestResult) -> bool {
-    matches!(request.answer, Some((200, _)))
+    let expected = match request.kind {
+        RequestKind::UnknownKey => 401,
+        _ => 200,
+    };
+    matches!(request.answer, Some((status, _)) if status == expected)
 }
 
 /// Describes the guarantee to the caller that was violated, if any.
@@ -158,7 +175,10 @@
     servers: &[String],
     was_paused: bool,
 ) -> Option<String> {
-    let idempotent = !matches!(request.kind, RequestKind::Pay | RequestKind::Home);
+    let idempotent = !matches!(
+        request.kind,
+        RequestKind::Pay | RequestKind::Home | RequestKind::Upload
+    );
     if !idempotent && servers.len() > 1 {
         return Some("twice: it was executed more than once".to_owned());
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::callers::{RequestKind, RequestResult, send_request};
 use crate::deployment::Deployment;
 use crate::faults::{clear_faults, inject_random_fault, restart_ended_hosts};
+use crate::pipeline::send_pipelined;
 use crate::report::Report;
 use crate::server::Server;
 
@@ -25,6 +26,10 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(12);
 /// Typical time between two faults; the actual time is 0.1 to 2 times as long.
 const FAULT_INTERVAL: Duration = Duration::from_millis(900);
+/// Requests for each group of pipelined ones.
+const PIPELINE_RATIO: u64 = 8;
+/// Requests of such a group.
+const PIPELINE_LENGTH: usize = 3;
 /// Interval at which processes that have ended are started again, as the platform would.
 const RESTART_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -50,6 +55,15 @@
     }
 }
 
+/// What callers send and the configuration asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Workload {
+    /// Tenants, uploads, pipelined requests and overload control besides.
+    Full,
+    /// What hosts of earlier builds know.
+    Plain,
+}
+
 /// Injects the faults that a seed determines for `fault_time`, then lets the deployment recover, and
 /// reports violated guarantees.
 ///
@@ -61,12 +75,13 @@
     seed: u64,
     fault_time: Duration,
     size: Size,
+    workload: Workload,
 ) -> io::Result<Report> {
     let scale = size.scale();
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut deployment = Deployment::start(program, 5 * scale, 4 * scale).await?;
+    let mut deployment = Deployment::start(program, 5 * scale, 4 * scale, workload).await?;
     let results: Arc<Mutex<Vec<RequestResult>>> = Arc::default();
-    let mut report = Report::new(seed);
+    let mut report = Report::new(seed, workload);
     let started = Instant::now();
     let faults_begin = started + STARTUP_TIME;
     let faults_end = faults_begin + fault_time;
@@ -97,6 +112,9 @@
         if now >= started + STARTUP_TIME / 2 {
             number += 1;
             spawn_request(&deployment, &mut rng, &results, seed, number);
+            if workload == Workload::Full && number % PIPELINE_RATIO == 0 {
+                spawn_pipeline(&deployment, &mut rng, &results, seed, number);
+            }
         }
         task::sleep(REQUEST_INTERVAL).await;
     }
@@ -120,10 +138,16 @@
     number: u64,
 ) {
     let host = rng.random_range(0..deployment.hosts.len());
-    let kind = match rng.random_range(0..10) {
+    let range = match deployment.workload {
+        Workload::Full => 0..12,
+        Workload::Plain => 0..10,
+    };
+    let kind = match rng.random_range(range) {
         0..=4 => RequestKind::Read,
         5..=7 => RequestKind::Pay,
         8 => RequestKind::Home,
+        10 => RequestKind::Upload,
+        11 => RequestKind::UnknownKey,
         _ if rng.random_ratio(1, 4) => RequestKind::RemovedVersion(deployment.config_version - 1),
         _ => RequestKind::Version(deployment.config_version),
     };
@@ -140,3 +164,25 @@
             .push(result);
     });
 }
+
+/// Sends several reads on one connection in the background.
+fn spawn_pipeline(
+    deployment: &Deployment,
+    rng: &mut SmallRng,
+    results: &Arc<Mutex<Vec<RequestResult>>>,
+    seed: u64,
+    number: u64,
+) {
+    let host = rng.random_range(0..deployment.hosts.len());
+    let address = deployment.hosts[host].caller_address;
+    let ids = (0..PIPELINE_LENGTH).map(|place| format!("{seed:04x}{number:08x}p{place}"));
+    let (ids, key) = (ids.collect(), rng.random());
+    let results = results.clone();
+    task::spawn(async move {
+        let pipelined = send_pipelined(host, address, ids, key).await;
+        results
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .extend(pipelined);
+    });
+}
--- a/crates/support/src/platform/recorder.rs
+++ b/crates/support/src/platform/recorder.rs
@@ -15,6 +15,10 @@
     pub server: String,
     /// When the execution started.
     pub began: Instant,
+    /// The tenant that the request was said to come from.
+    pub tenant: Option<String>,
+    /// Whether the caller's key came with it.
+    pub has_key: bool,
 }
 
 /// A key range that a server holds until it is released or expires.
