Order of the responses of a caller connection

Pipelined requests are to be served concurrently. ResponseOrder decides which request may start, which response is written next and what a close cancels; it has no I/O. The read-ahead of a connection gets an account of its own, and a connection whose read-ahead is used up can be asked whether the peer has closed it.

Not used by the host yet.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -19,6 +19,7 @@
 mod rate_limit;
 mod rate_pool;
 mod rate_share;
+mod response_order;
 mod retry_budget;
 mod router;
 mod server_signals;
@@ -44,6 +45,7 @@
 pub use rate_limit::RateLimit;
 pub use rate_pool::RatePool;
 pub use rate_share::{RateBound, RateShareLimiter};
+pub use response_order::{MAX_IN_FLIGHT, ResponseOrder, Ticket, TurnedResponse};
 pub use retry_budget::RetryBudgetShare;
 pub use router::{
     AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router,
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -15,6 +15,7 @@
 mod pauses;
 mod rate_limits;
 mod reach;
+mod response_order;
 mod restored_store;
 mod routes;
 mod servers;
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -42,6 +42,8 @@
     quarantined = "requests_quarantined_total";
     /// Requests passed on to other hosts, since this one reached no server.
     relayed = "requests_relayed_total";
+    /// Requests started before the earlier ones of their connection were answered.
+    pipelined = "requests_pipelined_total";
     /// Requests to the leader for more than this host's share of a limit.
     allowances_asked = "allowances_asked_total";
     /// Requests that may have run but have no response.
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -9,9 +9,11 @@
 mod connection;
 mod error;
 mod head;
+mod writer;
 
 pub(crate) use body::Body;
 pub(crate) use buffer_budget::{BufferAccount, BufferBudget};
 pub(crate) use connection::{Connection, within};
 pub(crate) use error::{HttpError, Result};
 pub(crate) use head::{Framing, Headers, RequestHead, ResponseHead};
+pub(crate) use writer::ConnectionWriter;
--- a/crates/front/src/http/buffer_budget.rs
+++ b/crates/front/src/http/buffer_budget.rs
@@ -33,8 +33,19 @@
 
     /// Starts the account of one message.
     pub(crate) fn open_account(&self) -> BufferAccount {
+        self.open_account_beyond(SMALL_MESSAGE)
+    }
+
+    /// Starts the account of what is read of a connection behind a message in hand. All of it counts, since
+    /// none of it has to be read yet.
+    pub(crate) fn open_read_ahead_account(&self) -> BufferAccount {
+        self.open_account_beyond(0)
+    }
+
+    fn open_account_beyond(&self, free: usize) -> BufferAccount {
         BufferAccount {
             budget: self.clone(),
+            free,
             head: 0,
             reserved: 0,
             charged: 0,
@@ -46,11 +57,13 @@
 #[derive(Debug)]
 pub(crate) struct BufferAccount {
     budget: BufferBudget,
+    /// The bytes that count for nothing.
+    free: usize,
     /// The bytes that the head of the message occupies once it has been read.
     head: usize,
     /// The length of the body, if its sender has told it and there is room for it.
     reserved: usize,
-    /// The bytes beyond [`SMALL_MESSAGE`].
+    /// The bytes beyond the free ones.
     charged: usize,
 }
 
@@ -80,12 +93,19 @@
         self.resize(bytes, |used, charged| used + charged <= limit)
     }
 
+    /// Gives up all bytes.
+    pub(crate) fn release(&mut self) {
+        if self.charged > 0 {
+            self.resize(0, |_, _| true);
+        }
+    }
+
     /// Sets the bytes of the message if the ones that all messages then occupy are allowed. Otherwise the
     /// message has to be given up and occupies nothing from now on, so that others which grow at the same
     /// time find the room that it leaves.
     fn resize(&mut self, bytes: usize, is_allowed: impl Fn(usize, usize) -> bool) -> bool {
         let before = self.charged;
-        let wanted = (self.head + bytes).saturating_sub(SMALL_MESSAGE);
+        let wanted = (self.head + bytes).saturating_sub(self.free);
         let next = |used: usize| {
             let total = used - before + wanted;
             let fits = wanted <= before || is_allowed(total, wanted);
--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -10,11 +10,13 @@
 use bytes::{Buf, BytesMut};
 use futures::future::{Either, FutureExt, select};
 use futures::{AsyncReadExt, AsyncWriteExt};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use super::body::{Body, BodyBuffer};
 use super::buffer_budget::{BufferAccount, SMALL_MESSAGE};
 use super::error::{HttpError, Result};
 use super::head::{Framing, RequestHead, ResponseHead};
+use super::writer::ConnectionWriter;
 
 /// Size of a single read, in bytes.
 const READ_SIZE: usize = 4 << 10;
@@ -22,6 +24,9 @@
 const READS_BETWEEN_YIELDS: u32 = 16;
 /// Maximum bytes that [`Connection::wait_closed`] buffers.
 const READ_AHEAD_LIMIT: usize = SMALL_MESSAGE;
+/// Interval at which a connection whose read-ahead is used up is checked for a disconnect. Servers must end
+/// their work on an idempotent request within 500 ms of its caller's disconnect.
+const HANG_UP_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest chunk size line and longest trailer line, in bytes.
 const LINE_LIMIT: usize = 4 << 10;
 /// Longest trailer section, in bytes.
@@ -121,15 +126,35 @@
         timeout(limit, self.wait_for_data()).await.is_err()
     }
 
-    /// Waits until the peer closes the connection, and buffers what it sends meanwhile.
-    pub(crate) async fn wait_closed(&mut self) {
-        while self.buffer.len() < READ_AHEAD_LIMIT {
+    /// Waits until the peer closes the connection, and buffers what it sends meanwhile, which counts towards
+    /// the budget of an account.
+    ///
+    /// Without room for more the rest stays in the socket, where a disconnect behind it can only be
+    /// asked for.
+    pub(crate) async fn wait_closed(&mut self, account: &mut BufferAccount) {
+        while self.buffer.len() < READ_AHEAD_LIMIT
+            && (self.buffer.is_empty() || account.grow(self.capacity_after_fill()))
+        {
             match self.fill().await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
             }
         }
-        futures::future::pending::<()>().await;
+        while !self.has_hung_up() {
+            async_std::task::sleep(HANG_UP_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Whether the peer has closed the connection, even if there is data before the close.
+    fn has_hung_up(&self) -> bool {
+        let mut polled = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        // A failure to ask says nothing of the peer.
+        poll(&mut polled, Some(&Timespec::default())).is_ok_and(|count| count > 0)
+    }
+
+    /// A handle that writes to the connection while something reads from it.
+    pub(crate) fn writer(&self) -> ConnectionWriter {
+        ConnectionWriter::new(self.stream.clone())
     }
 
     /// Reads the head of a request, whose bytes count towards the budget of an account.
@@ -387,7 +412,11 @@
 }
 
 /// Writes a message: one write for a short one, none of which copies a long body.
-async fn write_message(mut stream: &TcpStream, head: &[u8], body: &Body) -> io::Result<()> {
+pub(super) async fn write_message(
+    mut stream: &TcpStream,
+    head: &[u8],
+    body: &Body,
+) -> io::Result<()> {
     if head.len() + body.len() <= SMALL_MESSAGE {
         let bytes = [head]
             .into_iter()
