--- a/crates/host/tests/platform/faulty_responses.rs
+++ b/crates/host/tests/platform/faulty_responses.rs
@@ -15,13 +15,21 @@
 async fn scripted_site(
     name: &str,
     script: impl Fn(&str) -> ScriptedResponse + Send + Sync + 'static,
+) -> (Site, ScriptedUpstream) {
+    scripted_site_with(name, config(2, "/pay/"), script).await
+}
+
+/// A site with a configuration whose service without keys has only a server that follows a script.
+pub(crate) async fn scripted_site_with(
+    name: &str,
+    next: Value,
+    script: impl Fn(&str) -> ScriptedResponse + Send + Sync + 'static,
 ) -> (Site, ScriptedUpstream) {
     let site = start_site(name).await;
     site.servers[1].crash();
     let server =
         ScriptedUpstream::start(free_address(), "orders", "east-a", &site.store, script).await;
     let server = server.unwrap();
-    let next = config(2, "/pay/");
     site.store.put("config", "main", next, Value::Null);
     wait_until("requests reach the scripted server", async || {
         ask(&site, Method::Post, "/pay/x", "probe").await;
@@ -32,7 +40,7 @@
     (site, server)
 }
 
-fn success(id: &str) -> String {
+pub(crate) fn success(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nUpstream-Signature: sig\r\nContent-Length: 2\r\n\r\nok"
     )
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod long_bodies;
 mod odd_entries;
 mod pauses;
+mod pipelined_requests;
 mod restored_store;
 mod server_limit;
 mod site;
--- a/crates/support/src/platform/scripted.rs
+++ b/crates/support/src/platform/scripted.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::{AsyncReadExt, AsyncWriteExt};
@@ -28,6 +29,7 @@
 pub struct ScriptedUpstream {
     script: Arc<Script>,
     received: Arc<Mutex<Vec<String>>>,
+    broken_off: Arc<Mutex<Vec<String>>>,
 }
 
 impl ScriptedUpstream {
@@ -47,6 +49,7 @@
         let upstream = Self {
             script: Arc::new(script),
             received: Arc::default(),
+            broken_off: Arc::default(),
         };
         let this = upstream.clone();
         task::spawn(async move {
@@ -69,6 +72,11 @@
         lock(&self.received).clone()
     }
 
+    /// The identifiers of the requests whose connection was closed before a piece of their response.
+    pub fn broken_off(&self) -> Vec<String> {
+        lock(&self.broken_off).clone()
+    }
+
     async fn serve(self, mut stream: TcpStream) -> Option<()> {
         let mut buffer = Vec::new();
         loop {
@@ -76,7 +84,10 @@
             lock(&self.received).push(id.clone());
             let response = (self.script)(&id);
             for (pause, piece) in response.pieces {
-                task::sleep(pause).await;
+                if timeout(pause, wait_closed(&stream)).await.is_ok() {
+                    lock(&self.broken_off).push(id);
+                    return None;
+                }
                 stream.write_all(piece.as_bytes()).await.ok()?;
             }
             if response.closes {
@@ -86,6 +97,13 @@
     }
 }
 
+/// Waits until the peer closes a connection on which it sends nothing meanwhile.
+async fn wait_closed(stream: &TcpStream) {
+    if let Ok(1..) = stream.peek(&mut [0]).await {
+        futures::future::pending::<()>().await;
+    }
+}
+
 /// Reads a request with its body; returns its identifier.
 async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
     let mut chunk = [0; 4 << 10];
