Read the rest behind a closing response, and simplify the pipeline

Cause: closing a connection with unread requests in the socket resets it, which could discard responses that are on their way.

Limits are read anew for each request behind others.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -17,7 +17,7 @@
 use crate::entry_host::{EntryHost, InFlightGuard};
 use crate::http::{Body, BufferAccount, Connection, Framing, HttpError, RequestHead, within};
 use crate::response::Response;
-use pipeline::{Pipeline, ReadAhead, RunEnd};
+use pipeline::{Closed, Pipeline, ReadAhead};
 
 /// Interval of the checks whether the host is shutting down.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -89,16 +89,18 @@
         let Some(request) = request else {
             return;
         };
-        next = pipeline.start(request);
-        if next.is_some() {
-            continue;
-        }
-        match pipeline.run(&mut connection, &limits, &mut ahead).await {
-            RunEnd::Idle(read) => next = read,
-            RunEnd::Closed => return,
+        let end = pipeline.run(request, &mut connection, limits, &mut ahead);
+        match end.await {
+            Ok(read) => next = read,
+            Err(Closed) => break,
         }
         ahead.release();
     }
+    // Unread requests are behind the last response.
+    if connection.has_buffered_data() {
+        connection.close_output();
+        connection.discard_input(DISCARD_TIME).await;
+    }
 }
 
 /// The head of a request whose body has not been read.
--- a/crates/front/src/callers/pipeline.rs
+++ b/crates/front/src/callers/pipeline.rs
@@ -17,7 +17,8 @@
 
 use super::start::{admit, may_overtake, plan};
 use super::{
-    POLL_INTERVAL, ReceivedHead, Sender, WholeRequest, read_body, read_head, record_response,
+    POLL_INTERVAL, ReceivedHead, Sender, WholeRequest, limits_of, read_body, read_head,
+    record_response,
 };
 use crate::clock;
 use crate::entry_host::{EntryHost, InFlightGuard};
@@ -51,13 +52,8 @@
     }
 }
 
-/// How the serving of a connection's requests ended.
-pub(super) enum RunEnd<'a> {
-    /// All are answered; what is to be handled next, if it has been read.
-    Idle(Option<ReadAhead<'a>>),
-    /// The connection is to be closed.
-    Closed,
-}
+/// The connection is to be closed.
+pub(super) struct Closed;
 
 /// What has been read while requests are in flight.
 enum ReadResult {
@@ -119,7 +115,7 @@
     }
 
     /// Starts a request, or refuses it; returns it if it has to wait for the ones in flight.
-    pub(super) fn start(&mut self, request: WholeRequest<'a>) -> Option<ReadAhead<'a>> {
+    fn start(&mut self, request: WholeRequest<'a>) -> Option<ReadAhead<'a>> {
         let is_behind = !self.order.is_empty();
         let head = &request.received.head;
         let Some(plan) = plan(self.host, head, self.sender, is_behind) else {
@@ -149,10 +145,10 @@
                     async move { (ticket, serve(host, request).await) },
                 ));
             }
-            Err(response) => {
+            Err(refusal) => {
                 let unwritten = Unwritten {
                     id,
-                    state: State::Ready(response, None),
+                    state: State::Ready(Response::refused(refusal), None),
                     _in_flight: in_flight,
                 };
                 let ticket = self.order.start(unwritten, idempotent, closes);
@@ -162,19 +158,30 @@
         None
     }
 
-    /// Serves the requests in flight, and starts those behind them that may be, until all are answered.
+    /// Serves a request, and those behind it that may be started meanwhile, until all are answered. Returns
+    /// what is to be handled next, if it has been read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is to be closed.
     pub(super) async fn run(
         &mut self,
+        first: WholeRequest<'a>,
         connection: &mut Connection,
-        limits: &Limits,
+        mut limits: Limits,
         ahead: &mut BufferAccount,
-    ) -> RunEnd<'a> {
-        let mut next = None;
+    ) -> Result<Option<ReadAhead<'a>>, Closed> {
+        let mut next = self.start(first);
         let mut has_room = true;
         while !self.order.is_empty() {
+            match self.write_ready().await {
+                Some(true) => continue,
+                Some(false) => return Err(Closed),
+                None => {}
+            }
             let reads = next.is_none() && has_room && self.may_read();
             let event = if reads {
-                self.read_next(connection, limits, ahead).await
+                self.read_next(connection, &limits, ahead).await
             } else {
                 let mut watch = Box::pin(connection.wait_closed(ahead));
                 match self.drive(watch.as_mut()).await {
@@ -185,22 +192,21 @@
             };
             match event {
                 Event::Read(ReadResult::Head(received)) => {
-                    match self.start_behind(connection, received, limits).await {
-                        RunEnd::Idle(read) => next = read,
-                        RunEnd::Closed => return RunEnd::Closed,
-                    }
+                    next = self.start_behind(connection, received, &limits).await?;
+                    // A caller that always has a request in flight gets new limits, too.
+                    limits = limits_of(self.host, self.sender);
                 }
                 Event::Read(ReadResult::Failed(error)) => next = Some(ReadAhead::failed(error)),
                 Event::Read(ReadResult::NoRoom) => has_room = false,
                 Event::Read(ReadResult::Disconnected) => {
                     self.close();
-                    return RunEnd::Closed;
+                    return Err(Closed);
                 }
                 Event::Written => has_room = true,
-                Event::Ended => return RunEnd::Closed,
+                Event::Ended => return Err(Closed),
             }
         }
-        RunEnd::Idle(next)
+        Ok(next)
     }
 
     /// Whether to read the head of another request. A host that shuts down starts nothing behind the
@@ -226,13 +232,17 @@
         }
     }
 
-    /// Starts a request behind the ones in flight if it may be, after reading its body.
+    /// Starts a request behind the ones in flight, after reading its body; returns it if it has to wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is to be closed.
     async fn start_behind(
         &mut self,
         connection: &mut Connection,
         mut received: ReceivedHead,
         limits: &Limits,
-    ) -> RunEnd<'a> {
+    ) -> Result<Option<ReadAhead<'a>>, Closed> {
         let may_start = self.sender == Sender::Caller
             && !received.expects_continue()
             && !self.host.is_leaving()
@@ -241,11 +251,11 @@
                 .host
                 .with_router(|router, _| may_overtake(router, &received.head));
         if !may_start {
-            return RunEnd::Idle(Some(ReadAhead::Head(received)));
+            return Ok(Some(ReadAhead::Head(received)));
         }
         // Without room it waits for its turn, as do all requests of callers that do not pipeline.
         let Some(in_flight) = received.admit(self.host, limits) else {
-            return RunEnd::Idle(Some(ReadAhead::Head(received)));
+            return Ok(Some(ReadAhead::Head(received)));
         };
         let mut body = Body::default();
         if received.head.framing != Framing::Length(0) {
@@ -254,7 +264,7 @@
                 match self.drive(read.as_mut()).await {
                     Event::Read(result) => break result,
                     Event::Written => {}
-                    Event::Ended => return RunEnd::Closed,
+                    Event::Ended => return Err(Closed),
                 }
             };
             drop(read);
@@ -262,15 +272,15 @@
                 Ok(body) => body,
                 Err(error) if is_disconnect(&error) => {
                     self.close();
-                    return RunEnd::Closed;
+                    return Err(Closed);
                 }
                 Err(error) => {
                     let id = received.id();
-                    return RunEnd::Idle(Some(ReadAhead::Failed { id, error }));
+                    return Ok(Some(ReadAhead::Failed { id, error }));
                 }
             };
         }
-        RunEnd::Idle(self.start(WholeRequest {
+        Ok(self.start(WholeRequest {
             received,
             body,
             in_flight,
@@ -281,12 +291,10 @@
     /// written.
     async fn drive<T>(&mut self, mut read: Pin<&mut impl Future<Output = T>>) -> Event<T> {
         loop {
-            if let Some(next) = self.order.take_next(self.host.is_leaving()) {
-                if self.write(next).await {
-                    return Event::Written;
-                }
-                self.close();
-                return Event::Ended;
+            match self.write_ready().await {
+                Some(true) => return Event::Written,
+                Some(false) => return Event::Ended,
+                None => {}
             }
             let serving = &mut self.serving;
             let wait = poll_fn(|context| {
@@ -308,6 +316,16 @@
         }
     }
 
+    /// Writes the next response if it is ready; returns whether the connection stays open.
+    async fn write_ready(&mut self) -> Option<bool> {
+        let next = self.order.take_next(self.host.is_leaving())?;
+        let stays_open = self.write(next).await;
+        if !stays_open {
+            self.close();
+        }
+        Some(stays_open)
+    }
+
     /// Writes a response; returns whether the connection stays open. Requests behind it are served
     /// meanwhile, since a caller may be slow to read.
     async fn write(&mut self, next: TurnedResponse<Unwritten<'a>>) -> bool {
--- a/crates/front/src/callers/start.rs
+++ b/crates/front/src/callers/start.rs
@@ -11,7 +11,6 @@
 use crate::entry_host::EntryHost;
 use crate::http::{Body, RequestHead};
 use crate::proxy::{Origin, Request, SENDS};
-use crate::response::Response;
 
 /// `Retry-After` of a host that is shutting down; the caller's retry goes to another host.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -59,24 +58,24 @@
 ///
 /// # Errors
 ///
-/// Fails with the response if the request is refused.
+/// Fails with the refusal if it is refused.
 pub(super) fn admit(
     host: &EntryHost,
     received: ReceivedHead,
     body: Body,
     plan: Result<RoutePlan, RouteRefusal>,
     sender: Sender,
-) -> Result<Arc<Request>, Response> {
+) -> Result<Arc<Request>, RouteRefusal> {
     let caller_timeout = received.caller_timeout();
-    let plan = plan.map_err(Response::refused)?;
+    let plan = plan?;
     if host.delay().sheds(plan.priority()) {
-        return Err(Response::refused(RouteRefusal {
+        return Err(RouteRefusal {
             cause: RefusalCause::HostOverloaded,
             retry_after: Some(host.delay().estimate().min(MAX_OVERLOAD_RETRY_AFTER)),
-        }));
+        });
     }
     if must_refuse_to_leave(host, &plan, caller_timeout) {
-        return Err(Response::refused(leaving()));
+        return Err(leaving());
     }
     let origin = match sender {
         Sender::Caller => Origin::Caller,
--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -374,6 +374,12 @@
         write_message(&self.stream, head, body).await
     }
 
+    /// Tells the peer that nothing more is written.
+    pub(crate) fn close_output(&self) {
+        // An error means that the peer has disconnected.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     /// Reads and discards what the peer still sends, until it ends or `limit` has passed: closing a
     /// connection with unread data would discard what has been written.
     pub(crate) async fn discard_input(&mut self, limit: Duration) {
