Spread requests without keys over servers that many hosts share

Cause: from 81 hosts on, a server answers a given host once in many seconds. The order of the servers' costs at a host then hardly changes, and each host sends to its own few servers.

Change: with overload control and at least 24 hosts, a host draws three servers with a free slot of the nearest domains by a hash of host and request, and sends to the one of the lowest cost. The typical load of a service is forgotten while no server reports, so that a host which takes all servers for full tries them again. Router::controls_overload combines the settings and the configuration. Without overload control the selection is unchanged.

--- a/crates/core/src/front/load.rs
+++ b/crates/core/src/front/load.rs
@@ -133,6 +133,6 @@
     }
 }
 
-fn decay_factor(age: Duration, half_life: Duration) -> f64 {
+pub(super) fn decay_factor(age: Duration, half_life: Duration) -> f64 {
     0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
 }
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -6,6 +6,7 @@
 mod selection;
 mod settling;
 mod signals;
+mod spreading;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +29,7 @@
 pub use limits::RateLimitReport;
 use reach::Reach;
 use settling::Settling;
+use spreading::Spreading;
 pub use types::{
     AttemptOutcome, Credentials, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target,
 };
@@ -53,6 +55,8 @@
     /// Whether a complete list of servers has been received.
     initialized: bool,
     config: Option<Arc<Config>>,
+    /// Whether a route of the configuration has large bodies.
+    has_uploads: bool,
     servers: Servers,
     /// Servers that are removed at the given time unless they register again.
     pending_removals: BTreeMap<Arc<str>, Time>,
@@ -78,6 +82,7 @@
     baseline_latencies: BTreeMap<Arc<str>, Duration>,
     /// Mean of other hosts' requests at a server, for services without keys.
     typical_loads: BTreeMap<Arc<str>, f64>,
+    spreading: Spreading,
     log: Vec<LogRecord>,
 }
 
@@ -94,6 +99,7 @@
             settings,
             initialized: false,
             config: None,
+            has_uploads: false,
             servers: Servers::default(),
             pending_removals: BTreeMap::new(),
             unreadable: BTreeMap::new(),
@@ -112,6 +118,7 @@
             refusal_count: 0,
             baseline_latencies: BTreeMap::new(),
             typical_loads: BTreeMap::new(),
+            spreading: Spreading::default(),
             log: Vec::new(),
         }
     }
@@ -153,6 +160,7 @@
             .as_ref()
             .is_none_or(|known| known.version < config.version);
         if newer {
+            self.has_uploads = config.has_uploads();
             self.config = Some(config);
         }
         newer
@@ -247,7 +255,7 @@
             _ => self.reach.record_answer(now),
         }
         let baseline = self.baseline_latency(&target.entry.service);
-        let typical = self.typical_load(&target.entry.service);
+        let typical = self.assumed_load(now, &target.entry.service);
         let has_many_hosts = self.hosts >= MANY_HOSTS;
         let services = self.config.as_ref().map(|config| &config.services);
         let service = services.and_then(|services| services.get(&target.entry.service));
@@ -267,9 +275,15 @@
             if !keyed && has_many_hosts {
                 let total = f64::from(report.running) + f64::from(report.waiting);
                 let others = (total - state.load.own_in_flight() as f64).max(0.0);
-                let mean = typical + (others - typical) * TYPICAL_LOAD_WEIGHT;
+                let mean = self
+                    .typical_loads
+                    .get(&entry.service)
+                    .copied()
+                    .unwrap_or_default();
+                let mean = mean + (others - mean) * TYPICAL_LOAD_WEIGHT;
                 self.typical_loads
                     .insert(target.entry.service.clone(), mean);
+                self.spreading.record_report(now, &entry.service);
             }
         }
         let latency = now.since(target.sent);
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -145,7 +145,7 @@
             _ => self.lowest_cost(now, plan, excluded)?,
         };
         let baseline = self.baseline_latency(&plan.service);
-        let typical = self.typical_load(&plan.service);
+        let typical = self.assumed_load(now, &plan.service);
         let no_server = RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER);
         let state = self.servers.get(chosen).ok_or(no_server)?;
         let expected = state
@@ -283,7 +283,7 @@
         };
         let hosts = self.hosts;
         let baseline = self.baseline_latency(&plan.service);
-        let typical = self.typical_load(&plan.service);
+        let typical = self.assumed_load(now, &plan.service);
         let Some(state) = self.servers.get_mut(server) else {
             return Err(RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER));
         };
@@ -342,6 +342,7 @@
             }
         }
         candidates.sort();
+        self.order_for_spreading(now, plan, &mut candidates);
         let mut refusal = match shortest_pause {
             Some(left) => self.pause_refusal(left),
             None => RouteRefusal::new(RefusalCause::NoServer, MAX_RETRY_AFTER / 2),
@@ -355,26 +356,36 @@
         Err(refusal)
     }
 
-    /// Expected latency, or half the age of the oldest request in flight if that is longer, plus
-    /// the penalty for distance and the tie-breaker.
+    /// The expected latency, plus the penalty for distance and the tie-breaker.
     fn cost(&self, now: Time, plan: &RoutePlan, state: &ServerState) -> Duration {
+        let baseline = self.baseline_latency(&state.entry.service);
+        let tie_break = baseline.mul_f64(TIE_BREAK_WEIGHT * state.tie_break);
+        let penalty = self.distance_penalty(plan, &state.entry.domain);
+        self.latency_cost(now, state) + penalty + tie_break
+    }
+
+    /// Extra latency that is assumed for servers of a domain.
+    pub(super) fn distance_penalty(&self, plan: &RoutePlan, domain: &str) -> Duration {
         let target_latency = plan.route.target_latency;
-        let entry = &state.entry;
         let regions = &self.settings.regions;
-        let penalty = if entry.domain == self.settings.domain {
+        if domain == self.settings.domain {
             Duration::ZERO
-        } else if regions.get(&entry.domain) == regions.get(&self.settings.domain) {
+        } else if regions.get(domain) == regions.get(&self.settings.domain) {
             DOMAIN_PENALTY.max(target_latency / DOMAIN_PENALTY_DIVISOR)
         } else {
             REGION_PENALTY.max(target_latency / REGION_PENALTY_DIVISOR)
-        };
+        }
+    }
+
+    /// Expected latency, or half the age of the oldest request in flight if that is longer.
+    pub(super) fn latency_cost(&self, now: Time, state: &ServerState) -> Duration {
+        let entry = &state.entry;
         let baseline = self.baseline_latency(&entry.service);
-        let typical = self.typical_load(&entry.service);
+        let typical = self.assumed_load(now, &entry.service);
         let expected = state
             .load
             .expected_latency(now, entry.slots, baseline, typical);
-        let tie_break = baseline.mul_f64(TIE_BREAK_WEIGHT * state.tie_break);
-        expected.max(state.load.oldest_age(now) / 2) + penalty + tie_break
+        expected.max(state.load.oldest_age(now) / 2)
     }
 
     /// The baseline latency of each service, as measured by this host.
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -36,6 +36,8 @@
     pub warm_factor: f64,
     /// Requests per second by which the request rate of a cold server may be exceeded in addition.
     pub warm_slack: f64,
+    /// Whether requests compete for too little capacity, as the platform's settings say.
+    pub overload_control: bool,
 }
 
 /// A request for which a route was found.
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -91,6 +91,7 @@
             drain: self.drain,
             warm_factor: self.warm_factor,
             warm_slack: self.warm_slack,
+            overload_control: self.overload_control,
         }
     }
 
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -107,10 +107,15 @@
 
 /// A router of a host in `east-a`, without configuration or servers.
 pub(crate) fn router_of(name: &str) -> Router {
+    router_in(name, "east-a", false)
+}
+
+/// A router of a host in a domain, with or without overload control.
+pub(crate) fn router_in(name: &str, domain: &str, overload_control: bool) -> Router {
     let regions = [("east-a", "east"), ("east-b", "east"), ("west-a", "west")];
     Router::new(RouterSettings {
         name: name.to_owned(),
-        domain: "east-a".to_owned(),
+        domain: domain.to_owned(),
         regions: regions
             .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
             .into(),
@@ -120,5 +125,6 @@
         drain: Duration::from_millis(2_500),
         warm_factor: 1.5,
         warm_slack: 5.0,
+        overload_control,
     })
 }
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -19,4 +19,5 @@
 mod routes;
 mod servers;
 mod sim;
+mod spreading;
 mod voters;
