Place keys by the measured speed of the servers

Cause: a server's capacity was slots by the mean work of the service. Slow servers were full while fast ones had room. Servers that joined got half of the widest range of keys, which may have no requests, and others only from overloaded servers.

Change, with overload control only: hosts report the mean service time of servers with keys (Report, field 10), the leader merges them with decay and limits them to a factor of 3 from the mean. Servers without requests get a quarter of the mean utilization. A key that is too much for every server stays, and other ranges of its server move away. Hosts thin out requests for overloaded servers by priority. The counter keys_moved_total counts keys moved because of load. The randomised runs use both ways of placement.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod router;
 mod server_signals;
+mod server_speeds;
 mod servers;
 mod settings;
 mod store_revision;
@@ -50,6 +51,7 @@
     RouterSettings, Target,
 };
 pub use server_signals::{Departure, LimitSignal, ServerSignals};
+pub use server_speeds::{ServerSpeeds, ServiceTime, ServiceTimes};
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
 pub use settings::FrontSettings;
 pub use store_revision::StoreRevision;
--- a/crates/core/src/front/balance.rs
+++ b/crates/core/src/front/balance.rs
@@ -26,6 +26,9 @@
 /// Minimum reduction in the higher of the two utilizations that a move has to bring.
 const MIN_UTILIZATION_GAIN: f64 = 0.1;
 
+/// Share of the requests for a range from which one key counts as the only one.
+const SINGLE_KEY_SHARE: f64 = 0.9;
+
 /// Decaying request rates of the keys of one service, summed over all hosts.
 #[derive(Clone, Debug)]
 pub struct KeyRates {
@@ -76,6 +79,30 @@
         rates.hottest_range(from, to, min_rate)
     }
 
+    /// The lasting rate of the key with the most requests of the keys `from..=to`.
+    pub fn highest_rate(&self, from: u16, to: u16) -> f64 {
+        let rates = self.slow.rates.range(from..=to).map(|(_, rate)| *rate);
+        rates.fold(0.0, f64::max)
+    }
+
+    /// Whether nearly all requests for the keys `from..=to` are for one of them.
+    pub fn is_single_key(&self, from: u16, to: u16) -> bool {
+        self.highest_rate(from, to) >= self.slow.rate(from, to) * SINGLE_KEY_SHARE
+    }
+
+    /// Returns the first key of the narrowest range up to `to`, within `from..=to`, that has the rate
+    /// `min_rate`; `None` if there is none with a rate of at most `max_rate`.
+    pub fn last_part(&self, from: u16, to: u16, min_rate: f64, max_rate: f64) -> Option<u16> {
+        let mut sum = 0.0;
+        for (key, rate) in self.slow.rates.range(from..=to).rev() {
+            sum += rate;
+            if sum >= min_rate {
+                return (sum <= max_rate).then_some(*key);
+            }
+        }
+        None
+    }
+
     /// Decays the rates for the time since the last decay, at most every 50 ms.
     pub fn decay(&mut self, now: Time) {
         let age = now.since(self.decayed_at);
@@ -223,7 +250,7 @@
 
 impl ServerUsage {
     /// Expected utilization.
-    fn utilization(&self) -> f64 {
+    pub(super) fn utilization(&self) -> f64 {
         self.rate.expected() / self.capacity.max(0.1)
     }
 
--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -10,6 +10,7 @@
 mod rebalance;
 mod replies;
 mod span;
+mod speeds;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use super::admission::Overload;
 use super::balance::KeyRates;
 use super::placement::{KeySpan, Placement, RoutingSpan, RoutingTable};
+use super::server_speeds::ServerSpeeds;
 use super::voters::Voters;
 use crate::ids::CallId;
 use crate::log::{EventCode, LogRecord};
@@ -62,6 +64,11 @@
     /// key until their leases have expired.
     holders_unknown: bool,
     key_rates: BTreeMap<Arc<str>, KeyRates>,
+    speeds: ServerSpeeds,
+    /// Whether keys are placed by the servers' measured speed.
+    weighs_load: bool,
+    /// Keys whose move because of load has begun.
+    moved_keys: u64,
     unanswered_grants: Vec<UnansweredGrant>,
     /// When this host was last confirmed to be the leader.
     confirmed_at: Time,
@@ -115,6 +122,9 @@
             complete_era: record.complete_era,
             holders_unknown: !record.lists_all_holders(era),
             key_rates: BTreeMap::new(),
+            speeds: ServerSpeeds::default(),
+            weighs_load: false,
+            moved_keys: 0,
             unanswered_grants: Vec::new(),
             confirmed_at: written_from,
             recorded_at: written_from,
@@ -331,6 +341,7 @@
         if now.since(self.last_rebalance) >= REBALANCE_INTERVAL {
             self.last_rebalance = now;
             self.overloads.clear();
+            self.speeds.forget_old(now);
             for service in &services {
                 let overloads = self.find_overloads(now, cluster, service);
                 self.overloads.extend(overloads);
--- a/crates/core/src/front/granter/moves.rs
+++ b/crates/core/src/front/granter/moves.rs
@@ -408,9 +408,16 @@
         let usable = usages
             .iter()
             .filter(|usage| usage.accepts_keys && Some(&usage.id) != excluded);
+        let total: f64 = usages.iter().map(|usage| usage.capacity).sum();
+        let mean = total / usages.len().max(1) as f64;
         let cost = |usage: &ServerUsage| {
             let assigned = assigned_keys.get(&usage.id).copied().unwrap_or_default();
-            let keys = f64::from(usage.keys + assigned) / 65_536.0;
+            let weight = if self.weighs_load {
+                mean / usage.capacity.max(0.1)
+            } else {
+                1.0
+            };
+            let keys = f64::from(usage.keys + assigned) / 65_536.0 * weight;
             usage.rate.expected() / usage.capacity.max(0.1) + keys * 4.0
         };
         let best = usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
--- a/crates/core/src/front/granter/rebalance.rs
+++ b/crates/core/src/front/granter/rebalance.rs
@@ -7,7 +7,7 @@
 use super::order::ClusterState;
 use super::span::{Span, Stage};
 use crate::front::admission::Overload;
-use crate::front::balance::{MoveCandidate, RateEstimate, ServerUsage};
+use crate::front::balance::{KeyRates, MoveCandidate, RateEstimate, ServerUsage};
 use crate::front::load::INITIAL_LATENCY;
 use crate::front::rate_limit::RateLimit;
 use crate::log::EventCode;
@@ -53,10 +53,14 @@
     ) -> Vec<ServerUsage> {
         let spans = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let rates = self.key_rates.get(service);
-        let mut usages: Vec<ServerUsage> = cluster
-            .usable(service)
+        let servers = cluster.usable(service);
+        let ids = servers.iter().map(|state| &state.entry.id);
+        let times = self.speeds.service_times(now, ids);
+        let times = times.filter(|_| self.weighs_load);
+        let mut usages: Vec<ServerUsage> = servers
             .iter()
-            .map(|state| {
+            .enumerate()
+            .map(|(index, state)| {
                 let baseline = cluster
                     .baseline_latencies
                     .get(service)
@@ -67,6 +71,7 @@
                 let mean = measured
                     .clamp(baseline * LATENCY_RANGE.0, baseline * LATENCY_RANGE.1)
                     .max(0.001);
+                let mean = times.as_ref().map_or(mean, |times| times[index]);
                 let limit = state.rate_limit.map(RateLimit::usable_rate);
                 let capacity = f64::from(state.entry.slots) * EXPECTED_SLOT_USAGE / mean;
                 ServerUsage {
@@ -99,13 +104,20 @@
         let moves_per_pass = MIN_MOVES_PER_PASS.max(server_count / SERVERS_PER_MOVE);
         let spans = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let moving = spans.iter().filter(|span| span.is_moving()).count();
-        if moving >= moves_per_pass * CONCURRENT_PASSES {
+        let is_suspended = moving >= moves_per_pass * CONCURRENT_PASSES;
+        if is_suspended && !self.weighs_load {
             return;
         }
         if let Some(rates) = self.key_rates.get_mut(service) {
             rates.decay(now);
         }
-        let usages = self.server_usages(now, cluster, service, Span::target);
+        let mut usages = self.server_usages(now, cluster, service, Span::target);
+        if self.weighs_load {
+            self.assign_first_requests(now, service, &mut usages);
+        }
+        if is_suspended {
+            return;
+        }
         let without_keys = usages
             .iter()
             .filter(|usage| usage.accepts_keys && usage.keys == 0);
@@ -169,7 +181,7 @@
             usages[candidate.source].rate -= part.rate;
             usages[part.target].rate += part.rate;
             let target = usages[part.target].id.clone();
-            self.start_move(service, part.span_index, part.from, part.to, target);
+            self.start_load_move(service, part.span_index, part.from, part.to, target);
         }
     }
 
@@ -184,13 +196,39 @@
         let rates = self.key_rates.get(service)?;
         let source = &usages[candidate.source].id;
         let rate = |index: &usize| rates.rate(spans[*index].from, spans[*index].to).expected();
-        let index = (0..spans.len())
+        let mut indices: Vec<usize> = (0..spans.len())
             .filter(|index| spans[*index].is_settled() && spans[*index].target() == Some(source))
-            .max_by(|a, b| rate(a).total_cmp(&rate(b)))?;
+            .collect();
+        indices.sort_by(|a, b| rate(b).total_cmp(&rate(a)).then(b.cmp(a)));
+        // Other spans move only if a single key in the first is too much for the server.
+        let first = &spans[*indices.first()?];
+        let is_blocked = self.weighs_load
+            && rates.highest_rate(first.from, first.to) >= usages[candidate.source].capacity;
+        let considered = if is_blocked { indices.len() } else { 1 };
+        let mut considered = indices.into_iter().take(considered);
+        considered.find_map(|index| self.select_part(spans, rates, usages, candidate, index))
+    }
+
+    /// Selects keys of one span that a candidate should move, and their target.
+    fn select_part(
+        &self,
+        spans: &[Span],
+        rates: &KeyRates,
+        usages: &[ServerUsage],
+        candidate: &MoveCandidate,
+        index: usize,
+    ) -> Option<SelectedKeys> {
+        let source = &usages[candidate.source];
         let (first, last) = (spans[index].from, spans[index].to);
         let part = |from: u16, to: u16| {
             let rate = rates.rate(from, to);
             let target = candidate.best_target(usages, rate.expected())?;
+            let is_lone = self.weighs_load && rates.is_single_key(from, to);
+            let fits = usages[target].rate.expected() + rate.expected() <= usages[target].capacity;
+            if is_lone && rate.certain() >= source.capacity && !fits {
+                // It is too much for every server, and its neighbours move instead.
+                return None;
+            }
             Some(SelectedKeys {
                 span_index: index,
                 from,
@@ -199,7 +237,7 @@
                 target,
             })
         };
-        let mut min_rate = candidate.rate.min(rate(&index));
+        let mut min_rate = candidate.rate.min(rates.rate(first, last).expected());
         let mut range = (first, last);
         for _ in 0..MAX_SPLIT_ATTEMPTS {
             range = rates.hottest_range(first, last, min_rate)?;
@@ -211,13 +249,27 @@
         // A single key is too much for any other server: move its neighbours instead.
         let left = (range.0 > first).then(|| (first, range.0 - 1));
         let right = (range.1 < last).then(|| (range.1 + 1, last));
-        let sides = [left, right].into_iter().flatten();
-        let busiest = sides.max_by(|a, b| {
-            let rate = |side: &(u16, u16)| rates.rate(side.0, side.1).expected();
-            rate(a).total_cmp(&rate(b))
-        })?;
-        let part = part(busiest.0, busiest.1)?;
-        (part.rate.expected() >= MIN_NEIGHBOUR_RATE).then_some(part)
+        let mut sides: Vec<(u16, u16)> = [left, right].into_iter().flatten().collect();
+        let rate = |side: &(u16, u16)| rates.rate(side.0, side.1).expected();
+        sides.sort_by(|a, b| rate(b).total_cmp(&rate(a)).then(b.cmp(a)));
+        let considered = if self.weighs_load { sides.len() } else { 1 };
+        let mut parts = sides.into_iter().take(considered).filter_map(|side| {
+            part(side.0, side.1).filter(|part| part.rate.expected() >= MIN_NEIGHBOUR_RATE)
+        });
+        parts.next()
+    }
+
+    /// Starts a move because of load, which is counted.
+    pub(super) fn start_load_move(
+        &mut self,
+        service: &Arc<str>,
+        index: usize,
+        from: u16,
+        to: u16,
+        target: Arc<str>,
+    ) {
+        self.moved_keys += u64::from(to - from) + 1;
+        self.start_move(service, index, from, to, target);
     }
 
     fn start_move(
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -20,6 +20,7 @@
 use super::load::LoadReport;
 use super::placement::{RoutingSpan, RoutingTable};
 use super::retry_budget::RetryBudgetShare;
+use super::server_speeds::{ServiceTime, ServiceTimes};
 use super::servers::Servers;
 use super::weighted_split::WeightedSplitter;
 use crate::ids::ServerKey;
@@ -83,6 +84,7 @@
     /// Mean of other hosts' requests at a server, for services without keys.
     typical_loads: BTreeMap<Arc<str>, f64>,
     spreading: Spreading,
+    service_times: ServiceTimes,
     log: Vec<LogRecord>,
 }
 
@@ -119,6 +121,7 @@
             baseline_latencies: BTreeMap::new(),
             typical_loads: BTreeMap::new(),
             spreading: Spreading::default(),
+            service_times: ServiceTimes::default(),
             log: Vec::new(),
         }
     }
@@ -153,6 +156,11 @@
         std::mem::take(&mut self.key_counts)
     }
 
+    /// Returns the service times of servers with keys since the last call.
+    pub fn take_service_times(&mut self) -> Vec<ServiceTime> {
+        self.service_times.take()
+    }
+
     /// Applies a configuration unless a later one is known; returns whether it was applied.
     pub fn update_config(&mut self, config: Arc<Config>) -> bool {
         let newer = self
@@ -261,6 +269,10 @@
         let service = services.and_then(|services| services.get(&target.entry.service));
         let keyed = service.is_some_and(|service| service.keyed);
         let entry = &target.entry;
+        // The way to another region would count as work.
+        let is_measured = keyed
+            && self.controls_overload()
+            && self.region_of(&entry.domain) == self.region_of(&self.settings.domain);
         let Some(state) = self.servers.life_mut(&entry.id, entry.start_id) else {
             return;
         };
@@ -295,6 +307,9 @@
                     baseline.mul_f64(1.0 - BASELINE_WEIGHT) + latency.mul_f64(BASELINE_WEIGHT);
                 self.baseline_latencies
                     .insert(target.entry.service.clone(), new_baseline);
+                if let Some(report) = report.filter(|_| success && is_measured) {
+                    self.service_times.record(&id, latency, report);
+                }
                 if success {
                     state.record_execution();
                     state.record_success();
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -219,7 +219,12 @@
         if let Some(left) = self.pause_left(now, server) {
             return Err(self.pause_refusal(left));
         }
-        if !self.admission.admits(now, id) {
+        let priority = if self.controls_overload() {
+            plan.priority()
+        } else {
+            0
+        };
+        if !self.admission.admits(now, id, priority) {
             return Err(self.overload_refusal(plan, RefusalCause::Busy));
         }
         self.check_capacity(now, server, plan, service.as_ref())
--- a/crates/core/tests/front/hot_keys.rs
+++ b/crates/core/tests/front/hot_keys.rs
@@ -184,9 +184,9 @@
 
     let now = Time::from_millis(1_100);
     let admitted = (0..2_000)
-        .filter(|number| hosts[number % HOSTS].admits(now, "s1"))
+        .filter(|number| hosts[number % HOSTS].admits(now, "s1", 0))
         .count();
-    let other = hosts[0].admits(now, "s2");
+    let other = hosts[0].admits(now, "s2", 0);
 
     assert!((60..=100).contains(&admitted), "{admitted} of 2000");
     assert!(other, "a server that is not overloaded gets all requests");
@@ -201,6 +201,6 @@
     let mut host = Admission::default();
     host.update(Time::from_millis(1_000), &[overload], |_| 0.0);
 
-    assert!(!host.admits(Time::from_millis(2_000), "s1"));
-    assert!(host.admits(Time::from_millis(4_000), "s1"));
+    assert!(!host.admits(Time::from_millis(2_000), "s1", 0));
+    assert!(host.admits(Time::from_millis(4_000), "s1", 0));
 }
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -19,5 +19,6 @@
 mod routes;
 mod servers;
 mod sim;
+mod speeds;
 mod spreading;
 mod voters;
--- a/crates/core/tests/front/sim/hosts.rs
+++ b/crates/core/tests/front/sim/hosts.rs
@@ -147,7 +147,10 @@
         entry.followed_term = record.term;
         entry.granters += 1;
         entry.learnt_era = (era, self.now);
-        entry.granter = Some(Granter::new(now, now, &record, era, TIMING));
+        let mut granter = Granter::new(now, now, &record, era, TIMING);
+        // Both ways of placement occur in every run, also one after the other.
+        granter.set_overload_control(entry.granters.is_multiple_of(2));
+        entry.granter = Some(granter);
     }
 
     fn retry_write(&mut self, host: usize) {
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -56,6 +56,8 @@
     grants = "grants_total";
     /// Releases sent.
     releases = "releases_total";
+    /// Keys whose move to another server because of load this host has begun as the leader.
+    keys_moved = "keys_moved_total";
     /// Calls to the store.
     store_calls = "store_calls_total";
 }
@@ -70,6 +72,11 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Adds a number.
+    pub(crate) fn add_many(&self, number: u64) {
+        self.0.fetch_add(number, Ordering::Relaxed);
+    }
+
     /// The current value.
     pub(crate) fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -41,7 +41,7 @@
 use era::EraWatch;
 use execution::execute_order;
 use heartbeat::send_heartbeat;
-pub(crate) use heartbeat::take_key_counts;
+pub(crate) use heartbeat::{take_key_counts, take_service_times};
 pub(crate) use leader_state::LeaderState;
 use record::{StoredRecord, WriteOutcome, read_record, record_exists, write_record_if};
 
@@ -240,7 +240,11 @@
             config: &config,
             evacuated: router.evacuated(),
         };
-        lock(&leader.granter).advance(now, cluster)
+        let mut granter = lock(&leader.granter);
+        granter.set_overload_control(router.controls_overload());
+        let orders = granter.advance(now, cluster);
+        host.counters.keys_moved.add_many(granter.take_moved_keys());
+        orders
     });
     for order in orders {
         execute_order(host, leader, order);
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -11,7 +11,7 @@
 use crate::lock::lock;
 use crate::messages::{
     Body, CrashesMessage, DemandShareMessage, DepartureMessage, Heartbeat, HelperMessage,
-    KeyCounts, OverloadMessage, Report,
+    KeyCounts, OverloadMessage, Report, ServiceTimeMessage,
 };
 use crate::watch::KINDS;
 
@@ -40,6 +40,7 @@
             lacks_servers: false,
             departures: Vec::new(),
             crashes: None,
+            service_times: take_service_times(host),
         },
     );
     let member_count = lock(&leader.members).count();
@@ -134,3 +135,10 @@
         });
     key_counts.collect()
 }
+
+/// Takes the service times of servers with keys since the last call, in the form in which they are
+/// sent to the leader.
+pub(crate) fn take_service_times(host: &EntryHost) -> Vec<ServiceTimeMessage> {
+    let times = host.with_router(|router, _| router.take_service_times());
+    times.into_iter().map(ServiceTimeMessage::from).collect()
+}
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -8,7 +8,7 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    DemandShares, Granter, Members, Placement, RatePool, Router, StoreRevision,
+    DemandShares, Granter, Members, Placement, RatePool, Router, ServiceTime, StoreRevision,
 };
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
@@ -202,6 +202,8 @@
                 counts.map(|(key, count)| (*key as u16, *count)),
             );
         }
+        let times: Vec<ServiceTime> = report.service_times.iter().map(Into::into).collect();
+        granter.add_service_times(now, &times);
         for missing in report.missing {
             granter.handle_missing_key(now, &missing.service, missing.key as u16, &missing.server);
         }
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::front::{
-    Departure, Overload, RateLimit, RateLimitReport, ServerEntry, StoreRevision,
+    Departure, Overload, RateLimit, RateLimitReport, ServerEntry, ServiceTime, StoreRevision,
 };
 use prost::{Message, Oneof};
 
@@ -355,6 +355,41 @@
     /// report to a leader.
     #[prost(message, optional, tag = "9")]
     pub(crate) crashes: Option<CrashesMessage>,
+    /// Service times of servers with keys; an earlier release sends none.
+    #[prost(message, repeated, tag = "10")]
+    pub(crate) service_times: Vec<ServiceTimeMessage>,
+}
+
+/// Mean service time of a server since the sender's last report.
+#[derive(Clone, Message, PartialEq)]
+pub(crate) struct ServiceTimeMessage {
+    #[prost(string, tag = "1")]
+    pub(crate) server: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) micros: u64,
+    /// Number of answers that the mean stands for.
+    #[prost(uint32, tag = "3")]
+    pub(crate) answers: u32,
+}
+
+impl From<ServiceTime> for ServiceTimeMessage {
+    fn from(time: ServiceTime) -> Self {
+        Self {
+            server: time.server.to_string(),
+            micros: time.mean.as_micros() as u64,
+            answers: time.answers,
+        }
+    }
+}
+
+impl From<&ServiceTimeMessage> for ServiceTime {
+    fn from(message: &ServiceTimeMessage) -> Self {
+        Self {
+            server: Arc::from(message.server.as_str()),
+            mean: Duration::from_micros(message.micros),
+            answers: message.answers,
+        }
+    }
 }
 
 /// A server that has told in a response that it leaves.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::Connection;
-use crate::leadership::{LeaderState, take_key_counts};
+use crate::leadership::{LeaderState, take_key_counts, take_service_times};
 use crate::link::Link;
 use crate::messages::{
     Allowance, Body, CrashesMessage, DemandShareMessage, DepartureMessage, Heartbeat, Hello,
@@ -344,6 +344,7 @@
             .map(DepartureMessage::from)
             .collect(),
         crashes: CrashesMessage::new(clock::now(), &crashes),
+        service_times: take_service_times(host),
     }
 }
 
