--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -6,6 +6,7 @@
 mod selection;
 mod settling;
 mod signals;
+mod spreading;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
 use super::load::LoadReport;
 use super::placement::{RoutingSpan, RoutingTable};
 use super::retry_budget::RetryBudgetShare;
+use super::server_speeds::{ServiceTime, ServiceTimes};
 use super::servers::Servers;
 use super::weighted_split::WeightedSplitter;
 use crate::ids::ServerKey;
@@ -28,6 +30,7 @@
 pub use limits::RateLimitReport;
 use reach::Reach;
 use settling::Settling;
+use spreading::Spreading;
 pub use types::{
     AttemptOutcome, Credentials, RefusalCause, RoutePlan, RouteRefusal, RouterSettings, Target,
 };
@@ -53,6 +56,8 @@
     /// Whether a complete list of servers has been received.
     initialized: bool,
     config: Option<Arc<Config>>,
+    /// Whether a route of the configuration has large bodies.
+    has_uploads: bool,
     servers: Servers,
     /// Servers that are removed at the given time unless they register again.
     pending_removals: BTreeMap<Arc<str>, Time>,
@@ -78,6 +83,8 @@
     baseline_latencies: BTreeMap<Arc<str>, Duration>,
     /// Mean of other hosts' requests at a server, for services without keys.
     typical_loads: BTreeMap<Arc<str>, f64>,
+    spreading: Spreading,
+    service_times: ServiceTimes,
     log: Vec<LogRecord>,
 }
 
@@ -94,6 +101,7 @@
             settings,
             initialized: false,
             config: None,
+            has_uploads: false,
             servers: Servers::default(),
             pending_removals: BTreeMap::new(),
             unreadable: BTreeMap::new(),
@@ -112,6 +120,8 @@
             refusal_count: 0,
             baseline_latencies: BTreeMap::new(),
             typical_loads: BTreeMap::new(),
+            spreading: Spreading::default(),
+            service_times: ServiceTimes::default(),
             log: Vec::new(),
         }
     }
@@ -146,6 +156,11 @@
         std::mem::take(&mut self.key_counts)
     }
 
+    /// Returns the service times of servers with keys since the last call.
+    pub fn take_service_times(&mut self) -> Vec<ServiceTime> {
+        self.service_times.take()
+    }
+
     /// Applies a configuration unless a later one is known; returns whether it was applied.
     pub fn update_config(&mut self, config: Arc<Config>) -> bool {
         let newer = self
@@ -153,6 +168,7 @@
             .as_ref()
             .is_none_or(|known| known.version < config.version);
         if newer {
+            self.has_uploads = config.has_uploads();
             self.config = Some(config);
         }
         newer
@@ -247,12 +263,16 @@
             _ => self.reach.record_answer(now),
         }
         let baseline = self.baseline_latency(&target.entry.service);
-        let typical = self.typical_load(&target.entry.service);
+        let typical = self.assumed_load(now, &target.entry.service);
         let has_many_hosts = self.hosts >= MANY_HOSTS;
         let services = self.config.as_ref().map(|config| &config.services);
         let service = services.and_then(|services| services.get(&target.entry.service));
         let keyed = service.is_some_and(|service| service.keyed);
         let entry = &target.entry;
+        // The way to another region would count as work.
+        let is_measured = keyed
+            && self.controls_overload()
+            && self.region_of(&entry.domain) == self.region_of(&self.settings.domain);
         let Some(state) = self.servers.life_mut(&entry.id, entry.start_id) else {
             return;
         };
@@ -267,9 +287,15 @@
             if !keyed && has_many_hosts {
                 let total = f64::from(report.running) + f64::from(report.waiting);
                 let others = (total - state.load.own_in_flight() as f64).max(0.0);
-                let mean = typical + (others - typical) * TYPICAL_LOAD_WEIGHT;
+                let mean = self
+                    .typical_loads
+                    .get(&entry.service)
+                    .copied()
+                    .unwrap_or_default();
+                let mean = mean + (others - mean) * TYPICAL_LOAD_WEIGHT;
                 self.typical_loads
                     .insert(target.entry.service.clone(), mean);
+                self.spreading.record_report(now, &entry.service);
             }
         }
         let latency = now.since(target.sent);
@@ -281,6 +307,9 @@
                     baseline.mul_f64(1.0 - BASELINE_WEIGHT) + latency.mul_f64(BASELINE_WEIGHT);
                 self.baseline_latencies
                     .insert(target.entry.service.clone(), new_baseline);
+                if let Some(report) = report.filter(|_| success && is_measured) {
+                    self.service_times.record(&id, latency, report);
+                }
                 if success {
                     state.record_execution();
                     state.record_success();
