--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -45,7 +45,7 @@
 pub use rate_limit::RateLimit;
 pub use rate_pool::RatePool;
 pub use rate_share::{RateBound, RateShareLimiter};
-pub use response_order::{MAX_IN_FLIGHT, ResponseOrder, Ticket, TurnedResponse};
+pub use response_order::{MAX_IN_FLIGHT, NextResponse, ResponseOrder, Ticket};
 pub use retry_budget::RetryBudgetShare;
 pub use router::{
     AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router,
--- a/crates/core/src/front/response_order.rs
+++ b/crates/core/src/front/response_order.rs
@@ -10,9 +10,9 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(u64);
 
-/// A response whose turn has come.
+/// The response to be written next.
 #[derive(Debug, Eq, PartialEq)]
-pub struct TurnedResponse<T> {
+pub struct NextResponse<T> {
     /// What was stored with its request.
     pub item: T,
     /// Whether the connection closes after it.
@@ -108,11 +108,11 @@
 
     /// Takes the response to be written next, if it is ready. A host that shuts down closes the connection
     /// after the last request that it has started.
-    pub fn take_next(&mut self, is_leaving: bool) -> Option<TurnedResponse<T>> {
+    pub fn take_next(&mut self, is_leaving: bool) -> Option<NextResponse<T>> {
         let next = self.requests.pop_front_if(|request| request.is_ready)?;
         let closes = next.closes || is_leaving && self.is_empty();
         self.is_closing |= closes;
-        Some(TurnedResponse {
+        Some(NextResponse {
             item: next.item,
             closes,
         })
--- a/crates/core/tests/front/response_order.rs
+++ b/crates/core/tests/front/response_order.rs
@@ -1,9 +1,9 @@
 //! Pipelined requests of one caller connection.
 
-use amaranthshunt_core::front::{MAX_IN_FLIGHT, ResponseOrder, TurnedResponse};
+use amaranthshunt_core::front::{MAX_IN_FLIGHT, NextResponse, ResponseOrder};
 
-fn turned(item: &'static str, closes: bool) -> Option<TurnedResponse<&'static str>> {
-    Some(TurnedResponse { item, closes })
+fn next(item: &'static str, closes: bool) -> Option<NextResponse<&'static str>> {
+    Some(NextResponse { item, closes })
 }
 
 // Guards against ORDER: callers match responses to requests by their order only.
@@ -17,12 +17,12 @@
     order.complete(third);
     assert_eq!(order.take_next(false), None);
     order.complete(first);
-    assert_eq!(order.take_next(false), turned("first", false));
+    assert_eq!(order.take_next(false), next("first", false));
     assert_eq!(order.take_next(false), None);
     order.complete(second);
 
-    assert_eq!(order.take_next(false), turned("second", false));
-    assert_eq!(order.take_next(false), turned("third", false));
+    assert_eq!(order.take_next(false), next("second", false));
+    assert_eq!(order.take_next(false), next("third", false));
     assert!(order.is_empty());
 }
 
@@ -70,8 +70,8 @@
     assert!(!order.may_read() && !order.may_start(true));
     order.complete(last);
     order.complete(first);
-    assert_eq!(order.take_next(false), turned("first", false));
-    assert_eq!(order.take_next(false), turned("last", true));
+    assert_eq!(order.take_next(false), next("first", false));
+    assert_eq!(order.take_next(false), next("last", true));
     assert!(!order.may_start(false));
 }
 
@@ -85,8 +85,8 @@
         order.complete(ticket);
     }
 
-    assert_eq!(order.take_next(true), turned("first", false));
-    assert_eq!(order.take_next(true), turned("second", true));
+    assert_eq!(order.take_next(true), next("first", false));
+    assert_eq!(order.take_next(true), next("second", true));
     assert!(!order.may_read());
 }
 
--- a/crates/front/src/callers/pipeline.rs
+++ b/crates/front/src/callers/pipeline.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use amaranthshunt_core::Time;
-use amaranthshunt_core::front::{Limits, ResponseOrder, Route, Ticket, TurnedResponse};
+use amaranthshunt_core::front::{Limits, NextResponse, ResponseOrder, Route, Ticket};
 use async_std::future::timeout;
 use async_std::task;
 use futures::future::poll_fn;
@@ -328,8 +328,8 @@
 
     /// Writes a response; returns whether the connection stays open. Requests behind it are served
     /// meanwhile, since a caller may be slow to read.
-    async fn write(&mut self, next: TurnedResponse<Unwritten<'a>>) -> bool {
-        let TurnedResponse { item, closes } = next;
+    async fn write(&mut self, next: NextResponse<Unwritten<'a>>) -> bool {
+        let NextResponse { item, closes } = next;
         let State::Ready(response, served) = item.state else {
             return false;
         };
--- a/crates/host/tests/platform/pipelined_requests.rs
+++ b/crates/host/tests/platform/pipelined_requests.rs
@@ -77,10 +77,10 @@
         let found: Vec<_> = heads
             .filter(|head| head.contains("\r\n\r\n"))
             .map(|head| {
-                let id = head
-                    .lines()
-                    .find_map(|line| line.strip_prefix("Request-Id: "));
-                (head[..3].to_owned(), id.unwrap_or_default().to_owned())
+                let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+                let id = lines.find(|(name, _)| name.eq_ignore_ascii_case("request-id"));
+                let id = id.map_or("", |(_, id)| id);
+                (head[..3].to_owned(), id.to_owned())
             })
             .collect();
         if found.len() >= count {
@@ -112,7 +112,9 @@
 fn reads_behind_a_slow_one_are_served_meanwhile_and_answered_in_order() {
     task::block_on(async {
         let (site, server) = start("pipelined-reads").await;
-        let mut caller = send_all(&site, &["slow", "b", "c", "d"].map(read)).await;
+        let with_body = payment("c").replace("POST /pay/", "PUT /list/");
+        let requests = [read("slow"), read("b"), with_body, read("d")];
+        let mut caller = send_all(&site, &requests).await;
 
         task::sleep(ARRIVAL).await;
         let mut early = received(&server);
@@ -147,6 +149,21 @@
     });
 }
 
+// Guards against work in vain: the time behind a slow payment did not count towards the deadline.
+#[test]
+fn time_behind_a_payment_counts_towards_the_deadline() {
+    task::block_on(async {
+        let (site, server) = start("pipelined-deadline").await;
+        let late = read("late").replace("9000", "500");
+        let mut caller = send_all(&site, &[payment("slow"), late]).await;
+
+        let responses = responses(&mut caller, 2).await;
+
+        assert_eq!(responses, expected(&[("200", "slow"), ("503", "late")]));
+        assert_eq!(received(&server), ["slow"]);
+    });
+}
+
 // Guards against TWICE: callers repeat what stands behind a closing response, whatever its kind.
 #[test]
 fn nothing_behind_a_request_that_closes_the_connection_is_sent() {
