Bound what callers hold without ending their requests

Cause: each chunk of a body became a part with an allocation and a list entry of its own, and only its payload counted; heads counted only once they were complete, and a connection kept the buffer of a long one. Nothing bounded the number of callers' connections, and a body that stopped short of its end was bounded in time only by the deadline that its caller stated.

Change: bodies grow in parts of 64 bytes to 16 KiB and count with capacity, list entries and allocations; heads count while they arrive. Incomplete request bodies give way to other messages: those without progress for 0.5 s first, then larger ones. They are refused with 408 after 3 s without a byte or 30 s in all. MaxFds and MemoryMb bound callers' connections, requests in hand and idle connections to servers; beyond it the oldest idle caller connection is closed. A waiting connection holds no read buffer in its task. Four counters tell what was refused or closed.

--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -22,6 +22,18 @@
 /// Memory that each request has room for, in bytes: its tasks, connections and small messages.
 const REQUEST_BYTES: f64 = 48.0 * 1024.0;
 
+/// Descriptors of `MaxFds` that are reserved for files.
+const FILE_FDS: usize = 200;
+/// Shares of the other descriptors, in tenths: for callers' connections, for requests in hand, each of which
+/// may use a connection to a server, and for idle connections to servers. The rest is for other hosts, the
+/// store and listeners.
+const CALLER_FD_TENTHS: usize = 4;
+const REQUEST_FD_TENTHS: usize = 2;
+const POOL_FD_TENTHS: usize = 2;
+/// Callers' connections for each request that the memory has room for. A connection without a request
+/// occupies a quarter of what a request does, and callers keep some for their next requests.
+const CONNECTIONS_PER_REQUEST: usize = 2;
+
 /// Settings of one entry host that sends requests directly to backend servers.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
@@ -51,6 +63,8 @@
     pub link_mbps: Option<f64>,
     /// Memory of the host in MB (10^6 bytes), if the platform states it.
     pub memory_mb: Option<f64>,
+    /// Descriptors that the host may use, if the platform states it.
+    pub max_fds: Option<f64>,
     /// Time between the request to stop and the end of the process.
     pub grace: Duration,
     /// Time within which a draining server must stop getting requests.
@@ -111,9 +125,33 @@
         (self.memory() * BUFFER_MEMORY_SHARE) as usize
     }
 
+    /// Number of requests that the memory has room for.
+    fn memory_requests(&self) -> usize {
+        (self.memory() * REQUEST_MEMORY_SHARE / REQUEST_BYTES) as usize
+    }
+
+    /// A share of the descriptors that are not reserved for files; at least one.
+    fn descriptors(&self, tenths: usize) -> usize {
+        self.max_fds.map_or(usize::MAX, |count| {
+            let sockets = (count as usize).saturating_sub(FILE_FDS);
+            (sockets / 10 * tenths).max(1)
+        })
+    }
+
     /// Number of requests that the host has in hand at a time.
     pub fn max_requests(&self) -> usize {
-        (self.memory() * REQUEST_MEMORY_SHARE / REQUEST_BYTES) as usize
+        self.memory_requests()
+            .min(self.descriptors(REQUEST_FD_TENTHS))
+    }
+
+    /// Number of callers' connections that are open at a time.
+    pub fn max_connections(&self) -> usize {
+        (self.memory_requests() * CONNECTIONS_PER_REQUEST).min(self.descriptors(CALLER_FD_TENTHS))
+    }
+
+    /// Number of idle connections to servers that are kept.
+    pub fn max_pooled(&self) -> usize {
+        self.descriptors(POOL_FD_TENTHS)
     }
 
     /// Whether the host itself listens on an address.
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -41,8 +41,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = Connection::new(stream);
-                task::spawn(serve_connection(host.clone(), connection, Sender::Caller));
+                // A refused connection is closed.
+                if let Some(slot) = host.admit_connection(&stream) {
+                    let connection = Connection::of_caller(stream, slot);
+                    task::spawn(serve_connection(host.clone(), connection, Sender::Caller));
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
@@ -198,7 +201,7 @@
     let body_timeout = caller_timeout.unwrap_or(BODY_TIMEOUT);
     let body = within(
         body_timeout,
-        connection.read_body(head.framing, limits.body_bytes, &mut account),
+        connection.read_request_body(head.framing, limits.body_bytes, &mut account),
     )
     .await;
     let body = match body {
--- a/crates/front/src/command.rs
+++ b/crates/front/src/command.rs
@@ -81,6 +81,7 @@
                 host.pool.close_expired();
                 host.with_router(|router, now| router.tick(now));
                 host.suspects.sweep(&host);
+                host.sweep_bodies(SWEEP_INTERVAL);
             }
         }
         shut_down(&host).await;
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -48,6 +48,14 @@
     doubtful = "requests_doubtful_total";
     /// Requests whose caller disconnected.
     abandoned = "requests_left_total";
+    /// Connections of callers refused because there were too many.
+    callers_refused = "callers_refused_total";
+    /// Connections of callers closed to make room for new ones.
+    callers_closed = "callers_closed_total";
+    /// Request bodies ended because others needed their memory or place.
+    bodies_given_way = "bodies_given_way_total";
+    /// Request bodies ended because they made no progress or took too long.
+    bodies_timed_out = "bodies_timed_out_total";
     /// Retries sent to servers.
     retries = "requests_repeated_total";
     /// Connections opened to servers.
@@ -70,6 +78,11 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Adds a number.
+    pub(crate) fn add_many(&self, number: u64) {
+        self.0.fetch_add(number, Ordering::Relaxed);
+    }
+
     /// The current value.
     pub(crate) fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -11,6 +11,7 @@
 use amaranthshunt_core::log::{EventCode, LogRecord};
 
 use amaranthshunt_platform::Kind;
+use async_std::net::TcpStream;
 use async_std::task::JoinHandle;
 
 use crate::allowances::Allowances;
@@ -18,7 +19,7 @@
 use crate::counters::Counters;
 use crate::gauges::Gauges;
 use crate::helpers::Helpers;
-use crate::http::BufferBudget;
+use crate::http::{Admission, BufferBudget, CallerSlot, CallerSlots};
 use crate::leadership::LeaderState;
 use crate::lock::lock;
 use crate::logs::write_log;
@@ -51,6 +52,8 @@
     pub(crate) allowances: Allowances,
     /// Memory of the messages in hand.
     pub(crate) buffers: BufferBudget,
+    /// Connections of callers.
+    slots: CallerSlots,
     router: Mutex<Router>,
     /// The latest era of the store that has been logged.
     logged_era: AtomicU64,
@@ -80,12 +83,13 @@
     pub(crate) fn new(settings: FrontSettings) -> Self {
         Self {
             store: StoreClient::new(settings.store_address),
-            pool: Pool::default(),
+            pool: Pool::new(settings.max_pooled()),
             counters: Counters::default(),
             helpers: Helpers::default(),
             suspects: Suspects::default(),
             allowances: Allowances::default(),
             buffers: BufferBudget::new(settings.buffer_memory()),
+            slots: CallerSlots::new(settings.max_connections()),
             router: Mutex::new(Router::new(settings.router())),
             logged_era: AtomicU64::new(0),
             missing_keys: Mutex::default(),
@@ -396,14 +400,40 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Gives a place to a new connection of a caller; `None` if it has to be closed, since there are as
+    /// many already as the limits of this host allow.
+    pub(crate) fn admit_connection(&self, stream: &TcpStream) -> Option<CallerSlot> {
+        match self.slots.admit(stream) {
+            Admission::Free(slot) => Some(slot),
+            Admission::Replaces(slot) => {
+                self.counters.callers_closed.add();
+                Some(slot)
+            }
+            Admission::Refused => {
+                self.counters.callers_refused.add();
+                // The place of a body that makes no progress is free for the caller's next try.
+                self.buffers.end_stalled_body();
+                None
+            }
+        }
+    }
+
+    /// Ends request bodies that make no progress; `interval` is the time between two calls.
+    pub(crate) fn sweep_bodies(&self, interval: Duration) {
+        let ended = self.buffers.sweep(interval);
+        self.counters.bodies_given_way.add_many(ended.given_way);
+        self.counters.bodies_timed_out.add_many(ended.timed_out);
+    }
+
     /// Counts a request as in flight until the guard is dropped; `None` if there are as many already as
-    /// the memory of this host allows.
+    /// the limits of this host allow, and no body of another one gives way.
     pub(crate) fn admit_request(&self) -> Option<InFlightGuard<'_>> {
         let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
         let guard = InFlightGuard {
             count: &self.in_flight,
         };
-        (before < self.settings.max_requests()).then_some(guard)
+        let has_room = before < self.settings.max_requests() || self.buffers.end_stalled_body();
+        has_room.then_some(guard)
     }
 
     /// Records that a server does not hold a key that it should.
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -6,12 +6,16 @@
 
 mod body;
 mod buffer_budget;
+mod caller_slots;
 mod connection;
 mod error;
 mod head;
+mod reception;
+mod write;
 
 pub(crate) use body::Body;
 pub(crate) use buffer_budget::{BufferAccount, BufferBudget};
+pub(crate) use caller_slots::{Admission, CallerSlot, CallerSlots};
 pub(crate) use connection::{Connection, within};
 pub(crate) use error::{HttpError, Result};
 pub(crate) use head::{Framing, Headers, RequestHead, ResponseHead};
--- a/crates/front/src/http/body.rs
+++ b/crates/front/src/http/body.rs
@@ -2,8 +2,19 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-/// Capacity of a part, in bytes: what a body that grows occupies beyond its own bytes, at most.
+/// Largest capacity of a part, in bytes: what a body that grows occupies beyond its own bytes, at most.
 const PART_SIZE: usize = 16 << 10;
+/// Smallest capacity of a part of a body without a length, in bytes. Later parts have room for as much as
+/// all earlier ones, so that few are needed however small the pieces are in which a body arrives.
+const MIN_PART_SIZE: usize = 64;
+/// Bytes that a part occupies beyond its capacity: its entry in a list that grows by doubling, its
+/// reference count, and what the allocator adds.
+const PART_OVERHEAD: usize = 128;
+
+/// The bytes that a body occupies whose length is known before it is read.
+pub(super) fn occupied_by(length: usize) -> usize {
+    length.saturating_add(length.div_ceil(PART_SIZE).saturating_mul(PART_OVERHEAD))
+}
 
 /// A complete body.
 #[derive(Clone, Debug, Default)]
@@ -52,6 +63,7 @@
     full: Vec<Bytes>,
     last: BytesMut,
     length: usize,
+    occupied: usize,
 }
 
 impl BodyBuffer {
@@ -60,8 +72,14 @@
         self.length
     }
 
-    /// Adds bytes, of a body that will have at most `expected` more.
+    /// The bytes that the body occupies in memory, unused capacity and lists included.
+    pub(super) fn occupied(&self) -> usize {
+        self.occupied
+    }
+
+    /// Adds bytes, of a body that will have at most `expected` more; 0 if that is unknown.
     pub(super) fn append(&mut self, mut bytes: &[u8], expected: usize) {
+        let before = self.length;
         self.length += bytes.len();
         while !bytes.is_empty() {
             let room = self.last.capacity() - self.last.len();
@@ -70,7 +88,13 @@
                 if !full.is_empty() {
                     self.full.push(full);
                 }
-                self.last = BytesMut::with_capacity(expected.max(bytes.len()).min(PART_SIZE));
+                let wanted = if expected == 0 {
+                    bytes.len().max(before).max(MIN_PART_SIZE)
+                } else {
+                    expected.max(bytes.len())
+                };
+                self.last = BytesMut::with_capacity(wanted.min(PART_SIZE));
+                self.occupied += self.last.capacity() + PART_OVERHEAD;
                 continue;
             }
             let (now, later) = bytes.split_at(room.min(bytes.len()));
@@ -90,3 +114,43 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{BodyBuffer, PART_OVERHEAD, PART_SIZE, occupied_by};
+
+    // Guards against Fault: a body in chunks of one byte had an allocation for each of them.
+    #[test]
+    fn body_in_single_bytes_occupies_little_more_than_its_length() {
+        let mut body = BodyBuffer::default();
+
+        for _ in 0..100_000 {
+            body.append(b"x", 0);
+        }
+
+        assert_eq!(body.len(), 100_000);
+        assert!(body.occupied() < 100_000 + PART_SIZE + 20 * PART_OVERHEAD);
+        assert!(body.finish().parts().len() < 20);
+    }
+
+    #[test]
+    fn short_body_occupies_little() {
+        let mut body = BodyBuffer::default();
+
+        body.append(b"an order", 0);
+
+        assert!(body.occupied() < 256, "{}", body.occupied());
+    }
+
+    // Guards against Fault: a body whose length was reserved was given up because it occupied more.
+    #[test]
+    fn body_with_a_length_occupies_what_is_reserved() {
+        for length in [1, PART_SIZE, 3 * PART_SIZE + 5] {
+            let mut body = BodyBuffer::default();
+            for sent in 0..length {
+                body.append(b"x", length - sent);
+            }
+            assert_eq!(body.occupied(), occupied_by(length));
+        }
+    }
+}
--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -1,20 +1,26 @@
 //! A TCP connection with a read buffer.
 
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use bytes::{Buf, BytesMut};
+use futures::AsyncRead;
 use futures::future::{Either, FutureExt, select};
-use futures::{AsyncReadExt, AsyncWriteExt};
 
 use super::body::{Body, BodyBuffer};
 use super::buffer_budget::{BufferAccount, SMALL_MESSAGE};
+use super::caller_slots::{CallerSlot, Phase};
 use super::error::{HttpError, Result};
 use super::head::{Framing, RequestHead, ResponseHead};
+use super::reception::Reception;
+use super::write::write_message;
 
 /// Size of a single read, in bytes.
 const READ_SIZE: usize = 4 << 10;
@@ -37,6 +43,10 @@
     stream: TcpStream,
     buffer: BytesMut,
     read_count: u32,
+    /// The request body that is being read.
+    reception: Option<Arc<Reception>>,
+    /// Its place among the connections of callers.
+    slot: Option<CallerSlot>,
 }
 
 impl Connection {
@@ -48,6 +58,16 @@
             stream,
             buffer: BytesMut::new(),
             read_count: 0,
+            reception: None,
+            slot: None,
+        }
+    }
+
+    /// Wraps the stream of a caller, which has a place among the connections of callers.
+    pub(crate) fn of_caller(stream: TcpStream, slot: CallerSlot) -> Self {
+        Self {
+            slot: Some(slot),
+            ..Self::new(stream)
         }
     }
 
@@ -101,18 +121,37 @@
         if self.read_count.is_multiple_of(READS_BETWEEN_YIELDS) {
             async_std::task::yield_now().await;
         }
-        let mut chunk = [0; READ_SIZE];
-        let count = (&self.stream).read(&mut chunk).await?;
-        self.buffer.extend_from_slice(&chunk[..count]);
+        // The piece lies on the stack of each poll, so that a waiting task holds no room for it.
+        let count = poll_fn(|context| {
+            let mut piece = [0; READ_SIZE];
+            let count = ready!(Pin::new(&mut &self.stream).poll_read(context, &mut piece))?;
+            self.buffer.extend_from_slice(&piece[..count]);
+            Poll::Ready(io::Result::Ok(count))
+        })
+        .await?;
+        if let Some(reception) = &self.reception {
+            reception.note_progress();
+        }
         Ok(count)
     }
 
     /// Waits for the first byte of a message; `false` if the peer closed the connection.
     pub(crate) async fn wait_for_data(&mut self) -> io::Result<bool> {
-        if !self.buffer.is_empty() {
-            return Ok(true);
+        if self.buffer.is_empty() {
+            self.enter(Phase::Idle);
+            if self.fill().await? == 0 {
+                return Ok(false);
+            }
+        }
+        self.enter(Phase::Head);
+        Ok(true)
+    }
+
+    /// Tells which part of a request a caller's connection is at.
+    fn enter(&self, phase: Phase) {
+        if let Some(slot) = &self.slot {
+            slot.enter(phase);
         }
-        self.fill().await.map(|count| count > 0)
     }
 
     /// Waits for `limit` whether the peer ends the connection or sends anything before it is asked;
@@ -149,16 +188,31 @@
                 if length > limit {
                     return Err(HttpError::HeadTooLong);
                 }
-                self.buffer.advance(length);
+                self.consume_head(length);
                 if !account.add_head(length) {
                     return Err(HttpError::OutOfMemory);
                 }
+                self.enter(Phase::Request);
                 return Ok(head);
             }
             if self.buffer.len() > limit {
                 return Err(HttpError::HeadTooLong);
             }
             self.fill_head().await?;
+            if let Err(error) = occupy(account, self.buffer.capacity()) {
+                self.buffer = BytesMut::new();
+                return Err(error);
+            }
+        }
+    }
+
+    /// Drops a head from the buffer, and the buffer's capacity if the head was a long one: the connection
+    /// may be idle for long afterwards.
+    fn consume_head(&mut self, length: usize) {
+        let is_large = self.buffer.capacity() > READ_SIZE * 2;
+        self.buffer.advance(length);
+        if is_large {
+            self.buffer = BytesMut::from(&self.buffer[..]);
         }
     }
 
@@ -217,6 +271,32 @@
         }
     }
 
+    /// Reads the body of a request as [`Connection::read_body`] does. A body that does not arrive with its
+    /// head gives way to other messages, and has a time limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Connection::read_body`], if the body has to give way, or with a timeout.
+    pub(crate) async fn read_request_body(
+        &mut self,
+        framing: Framing,
+        limit: usize,
+        account: &mut BufferAccount,
+    ) -> Result<Body> {
+        if matches!(framing, Framing::Length(length) if length <= self.buffer.len()) {
+            return self.read_body(framing, limit, account).await;
+        }
+        let reception = account.receive();
+        self.reception = Some(reception.clone());
+        let result = {
+            let read = pin!(self.read_body(framing, limit, account));
+            reception.until_ended(read).await
+        };
+        self.reception = None;
+        account.complete(&reception)?;
+        result
+    }
+
     /// Reads a complete body of at most `limit` bytes, which count towards the budget of an account.
     ///
     /// # Errors
@@ -237,7 +317,7 @@
                     self.fill_body().await?;
                     let left = length - body.len();
                     self.move_to_body(&mut body, left, left);
-                    occupy(account, body.len())?;
+                    occupy(account, body.occupied())?;
                 }
             }
             Framing::Chunked => self.read_chunks(&mut body, limit, account).await?,
@@ -246,7 +326,7 @@
                 if body.len() > limit {
                     return Err(HttpError::BodyTooLong);
                 }
-                occupy(account, body.len())?;
+                occupy(account, body.occupied())?;
                 if self.fill().await? == 0 {
                     break;
                 }
@@ -292,7 +372,7 @@
                     self.fill_body().await?;
                 }
                 self.move_to_body(body, end - body.len(), 0);
-                occupy(account, body.len())?;
+                occupy(account, body.occupied())?;
             }
             while self.buffer.len() < 2 {
                 self.fill_body().await?;
@@ -352,6 +432,7 @@
     /// Reads and discards what the peer still sends, until it ends or `limit` has passed: closing a
     /// connection with unread data would discard what has been written.
     pub(crate) async fn discard_input(&mut self, limit: Duration) {
+        self.buffer = BytesMut::new();
         let discard = async {
             while let Ok(1..) = self.fill().await {
                 self.buffer.clear();
@@ -386,21 +467,6 @@
     }
 }
 
-/// Writes a message: one write for a short one, none of which copies a long body.
-async fn write_message(mut stream: &TcpStream, head: &[u8], body: &Body) -> io::Result<()> {
-    if head.len() + body.len() <= SMALL_MESSAGE {
-        let bytes = [head]
-            .into_iter()
-            .chain(body.parts().iter().map(|part| &part[..]));
-        return stream.write_all(&bytes.collect::<Vec<_>>().concat()).await;
-    }
-    stream.write_all(head).await?;
-    for part in body.parts() {
-        stream.write_all(part).await?;
-    }
-    Ok(())
-}
-
 fn occupy(account: &mut BufferAccount, bytes: usize) -> Result<()> {
     if account.grow(bytes) {
         Ok(())
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -52,12 +52,29 @@
 }
 
 /// Idle connections by server run or host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<PoolKey, Vec<IdleConnection>>>,
+    /// Maximum idle connections that are kept together, so that they leave descriptors to others.
+    limit: usize,
+}
+
+impl Default for Pool {
+    /// A pool that keeps connections to any number of servers.
+    fn default() -> Self {
+        Self::new(usize::MAX)
+    }
 }
 
 impl Pool {
+    /// Creates an empty pool for at most `limit` connections.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            idle: Mutex::default(),
+            limit,
+        }
+    }
+
     /// Takes a connection that the server has neither closed nor written to.
     pub(crate) fn take(&self, key: impl Into<PoolKey>) -> Option<Connection> {
         let mut idle = lock(&self.idle);
@@ -82,6 +99,9 @@
         idle_timeout: Duration,
     ) {
         let mut idle = lock(&self.idle);
+        if idle.values().map(Vec::len).sum::<usize>() >= self.limit {
+            return;
+        }
         let connections = idle.entry(key.into()).or_default();
         if connections.len() < IDLE_LIMIT {
             let expires_at = clock::now() + idle_timeout;
