Treat responses with statuses that do not exist as malformed

Cause: any three digits passed for a status. 000 to 099 and 101 were skipped like interim responses, so the host waited for another response until the route's timeout; 600 to 999 were forwarded.

Change: a response is malformed with a status outside 100 to 599, with 101, or with an interim status and a length. Like any malformed response it is a failed attempt at a server that may have run the request, and its connection is closed.

--- a/crates/front/src/http/head.rs
+++ b/crates/front/src/http/head.rs
@@ -1,9 +1,15 @@
 //! Parsing of request and response heads.
 
+use std::ops::RangeInclusive;
+
 use super::error::{HttpError, Result};
 
 /// Maximum number of headers of a message.
 const MAX_HEADERS: usize = 128;
+/// Statuses that exist. HTTP gives no meaning to others, so that they tell nothing of the request.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// The status of a change of protocols, after which no other response follows. No request asks for one.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Hop-by-hop headers, and the length, which is written anew.
 const NOT_FORWARDED: [&str; 8] = [
     "connection",
@@ -197,7 +203,14 @@
         };
         let headers = Headers::from_parsed(response.headers);
         let code = response.code.unwrap_or_default();
+        if !STATUSES.contains(&code) || code == SWITCHING_PROTOCOLS {
+            return Err(HttpError::Malformed("response status"));
+        }
         let declared = headers.framing()?;
+        if code < 200 && declared.is_some() {
+            // An interim response has no body and no length; a final one has no such status.
+            return Err(HttpError::Malformed("status of a final response"));
+        }
         let has_no_body = bodiless || code < 200 || code == 204 || code == 304;
         let framing = match declared {
             _ if has_no_body => Framing::Length(0),
@@ -222,3 +235,30 @@
         )))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use yare::parameterized;
+
+    use super::ResponseHead;
+
+    // Guards against ORDER: any three digits passed for a status.
+    #[parameterized(
+        zero = { "000", "", false },
+        below = { "099", "", false },
+        interim = { "103", "", true },
+        final_interim = { "103", "Content-Length: 0\r\n", false },
+        chunked_interim = { "100", "Transfer-Encoding: chunked\r\n", false },
+        switching = { "101", "", false },
+        highest = { "599", "", true },
+        above = { "600", "", false },
+        far_above = { "999", "", false },
+    )]
+    fn only_statuses_that_exist_are_parsed(status: &str, header: &str, is_valid: bool) {
+        let text = format!("HTTP/1.1 {status} X\r\n{header}\r\n");
+
+        let parsed = ResponseHead::parse(text.as_bytes(), false);
+
+        assert_eq!(parsed.is_ok_and(|head| head.is_some()), is_valid);
+    }
+}
--- a/crates/host/tests/platform/faulty_responses.rs
+++ b/crates/host/tests/platform/faulty_responses.rs
@@ -1,5 +1,6 @@
 //! Responses of faulty servers that could be taken for something else.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use amaranthshunt_support::free_address;
@@ -123,3 +124,84 @@
         assert_eq!(runs.iter().filter(|id| *id == "cut").count(), 1);
     });
 }
+
+/// Status lines that no final response may have.
+const INVALID_STATUSES: [&str; 5] = ["000", "099", "101", "600", "999"];
+
+/// What a server says if it is faulty: a response of an invalid status, otherwise complete.
+fn invalid_status(status: &str, id: &str) -> String {
+    success(id)
+        .replace("200 OK", &format!("{status} Faulty"))
+        .replace("Content-Length: 2\r\n\r\nok", "Content-Length: 0\r\n\r\n")
+}
+
+/// Answers requests whose identifier begins with an invalid status by it, others with success.
+fn faulty_script(request: &str) -> ScriptedResponse {
+    let status = request.split('-').next().unwrap_or_default();
+    let text = if INVALID_STATUSES.contains(&status) {
+        invalid_status(status, request)
+    } else {
+        success(request)
+    };
+    ScriptedResponse {
+        pieces: vec![written(text)],
+        closes: false,
+    }
+}
+
+// Guards against ORDER: a caller got a status that does not exist, such as 000, as the answer to a request
+// that may have run, or waited for the response after it until the route's timeout.
+#[test]
+fn invalid_status_of_a_request_that_must_not_repeat_becomes_502() {
+    task::block_on(async {
+        let (site, server) = scripted_site("invalid-status", faulty_script).await;
+
+        let statuses = Mutex::new(Vec::new());
+        for invalid in INVALID_STATUSES {
+            let id = format!("{invalid}-once");
+            let runs = || server.received().iter().filter(|run| **run == id).count();
+            // A failure ends the use of the server for a moment, in which requests are refused as not run.
+            wait_until("the server gets the request", async || {
+                let response = ask(&site, Method::Post, "/pay/x", &id).await;
+                if runs() > 0 {
+                    let result = (invalid, status(&response), runs());
+                    statuses.lock().unwrap().push(result);
+                }
+                runs() > 0
+            })
+            .await;
+        }
+
+        let expected = INVALID_STATUSES.map(|invalid| (invalid, 502, 1));
+        assert_eq!(*statuses.lock().unwrap(), expected);
+    });
+}
+
+// Guards against LOST: a request that may be repeated ended with a status that does not exist, though
+// another server would have answered it.
+#[test]
+fn invalid_status_of_a_request_that_may_repeat_leads_to_another_server() {
+    task::block_on(async {
+        let site = start_site("invalid-status-repeat").await;
+        let script = faulty_script;
+        let address = free_address();
+        let server = ScriptedUpstream::start(address, "orders", "east-a", &site.store, script);
+        let server = server.await.unwrap();
+        let mut next = config(2, "/pay/");
+        next["Routes"]["pay"]["Kind"] = Value::from("safe");
+        site.store.put("config", "main", next, Value::Null);
+
+        for invalid in INVALID_STATUSES {
+            let id = format!("{invalid}-again");
+            wait_until("the faulty server gets the request", async || {
+                let response = ask(&site, Method::Post, "/pay/x", &id).await;
+                let is_received = server.received().contains(&id);
+                if is_received {
+                    assert_eq!(status(&response), 200, "{id}");
+                }
+                is_received
+            })
+            .await;
+        }
+    });
+}
