--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -37,8 +37,11 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = Connection::new(stream);
-                task::spawn(serve_connection(host.clone(), connection, Sender::Caller));
+                // A refused connection is closed.
+                if let Some(slot) = host.admit_connection(&stream) {
+                    let connection = Connection::of_caller(stream, slot);
+                    task::spawn(serve_connection(host.clone(), connection, Sender::Caller));
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept a caller's connection: {error}");
@@ -89,8 +92,11 @@
         let Some(request) = request else {
             return;
         };
+        connection.set_has_requests(true);
         let end = pipeline.run(request, &mut connection, limits, &mut ahead);
-        match end.await {
+        let end = end.await;
+        connection.set_has_requests(false);
+        match end {
             Ok(read) => next = read,
             Err(Closed) => break,
         }
@@ -186,7 +192,7 @@
 ) -> Result<Body, HttpError> {
     let timeout = received.caller_timeout().unwrap_or(BODY_TIMEOUT);
     let framing = received.head.framing;
-    let read = connection.read_body(framing, limits.body_bytes, &mut received.account);
+    let read = connection.read_request_body(framing, limits.body_bytes, &mut received.account);
     within(timeout, read).await
 }
 
