Say what the bound on callers' connections rests on

The comment on the connections for each request stated a share that was not measured; it now says only what the tests of callers' connections show. No change of behaviour.

--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -30,8 +30,8 @@
 const CALLER_FD_TENTHS: usize = 4;
 const REQUEST_FD_TENTHS: usize = 2;
 const POOL_FD_TENTHS: usize = 2;
-/// Callers' connections for each request that the memory has room for. A connection without a request
-/// occupies a quarter of what a request does, and callers keep some for their next requests.
+/// Callers' connections for each request that the memory has room for. Callers keep connections for their
+/// next requests, and one without a request occupies far less than a request does.
 const CONNECTIONS_PER_REQUEST: usize = 2;
 
 /// Settings of one entry host that sends requests directly to backend servers.
