Enforce tenants' quotas over all hosts

Cause: the quota of a tenant was read from the configuration but not enforced, so that a tenant could send any number of requests.

Change: each host checks the quota before it selects a server, and answers 429 with Retry-After (cause Quota) beyond it. Half of the bound is divided by shares that the leader tells in heartbeats, a small part equally, and the rest is counted out by the leader in batches. QuotaLedger keeps the sum of the shares that hosts may be using at one or below through lost hosts, restarts and changes of the leader: a lowered share is free one window after its host has confirmed it, shares have leases, and a new leader divides only what its followers report until all are known. RatePool, RateShareLimiter and the decay of demand counts are shared with server limits, whose rules are unchanged. New message fields only: Heartbeat 15 and 16, Report 10, RequestAllowance 3, Allowance 3. A request that no server has executed is taken back; each further send counts. Test servers record Tenant-Id and the presence of Authorization.

The process tests `tenants` and `server_limit` pass; the other process tests were not run.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -16,6 +16,8 @@
 mod load;
 mod members;
 mod placement;
+mod quota;
+mod quota_ledger;
 mod rate_limit;
 mod rate_pool;
 mod rate_share;
@@ -41,13 +43,15 @@
 pub use load::{LoadReport, ServerLoad};
 pub use members::Members;
 pub use placement::{KeySpan, Placement, RoutingSpan, RoutingTable, first_term};
+pub use quota::QuotaTolerance;
+pub use quota_ledger::QuotaLedger;
 pub use rate_limit::RateLimit;
 pub use rate_pool::RatePool;
 pub use rate_share::{RateBound, RateShareLimiter};
 pub use retry_budget::RetryBudgetShare;
 pub use router::{
-    AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router,
-    RouterSettings, Target,
+    AllowanceNeed, AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan,
+    RouteRefusal, Router, RouterSettings, Target, TenantUsage,
 };
 pub use server_signals::{Departure, LimitSignal, ServerSignals};
 pub use servers::{ServerChanges, ServerEntry, ServerState, Servers};
--- a/crates/core/src/front/demand_shares.rs
+++ b/crates/core/src/front/demand_shares.rs
@@ -18,11 +18,11 @@
 /// after would be used twice.
 pub(super) const LEARNING_TIME: Duration = Duration::from_secs(2);
 /// Change of a share, as a fraction of it, up to which a host keeps the share that it was told.
-const TOLERATED_CHANGE: f64 = 0.25;
+pub(super) const TOLERATED_CHANGE: f64 = 0.25;
 /// Time between two changes that a host's share takes: a window of the limit, and two heartbeats.
 const CHANGE_TIME: Duration = Duration::from_millis(5_300);
 /// Number of requests below which a host is forgotten.
-const FORGOTTEN_REQUESTS: f64 = 0.1;
+pub(super) const FORGOTTEN_REQUESTS: f64 = 0.1;
 
 /// Requests that callers sent to each host, from which the hosts' shares of a limit follow.
 ///
@@ -32,10 +32,42 @@
 #[derive(Clone, Debug)]
 pub struct DemandShares {
     started: Time,
-    decayed_at: Time,
+    decay: DecayClock,
     services: BTreeMap<Arc<str>, ServiceDemand>,
 }
 
+/// When counts of requests have last been decayed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DecayClock {
+    last: Time,
+    half_life: Duration,
+}
+
+impl DecayClock {
+    pub(super) fn new(now: Time, half_life: Duration) -> Self {
+        Self {
+            last: now,
+            half_life,
+        }
+    }
+
+    /// The time of the last decay.
+    pub(super) fn last(self) -> Time {
+        self.last
+    }
+
+    /// The factor by which counts have decayed since the last call that returned one; `None` if it is
+    /// too early for another decay.
+    pub(super) fn take_factor(&mut self, now: Time) -> Option<f64> {
+        let age = now.since(self.last);
+        if age < DECAY_INTERVAL {
+            return None;
+        }
+        self.last = now;
+        Some(0.5_f64.powf(age.as_secs_f64() / self.half_life.as_secs_f64()))
+    }
+}
+
 /// Decaying counts of the requests for one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceDemand {
@@ -61,7 +93,7 @@
     pub fn new(now: Time) -> Self {
         Self {
             started: now,
-            decayed_at: now,
+            decay: DecayClock::new(now, HALF_LIFE),
             services: BTreeMap::new(),
         }
     }
@@ -81,7 +113,7 @@
     /// A share stays as it was told until it is clearly wrong: what one host may send no more and
     /// another may send already is sent twice within a window.
     pub fn tell(&mut self, now: Time, host: &str) -> BTreeMap<Arc<str>, f64> {
-        let has_learned = self.decayed_at.since(self.started) >= LEARNING_TIME;
+        let has_learned = self.decay.last().since(self.started) >= LEARNING_TIME;
         let known = self
             .services
             .iter_mut()
@@ -113,12 +145,9 @@
     }
 
     fn decay(&mut self, now: Time) {
-        let age = now.since(self.decayed_at);
-        if age < DECAY_INTERVAL {
+        let Some(factor) = self.decay.take_factor(now) else {
             return;
-        }
-        self.decayed_at = now;
-        let factor = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        };
         for demand in self.services.values_mut() {
             demand.total *= factor;
             demand.hosts.retain(|_, host| {
--- a/crates/core/src/front/rate_limit.rs
+++ b/crates/core/src/front/rate_limit.rs
@@ -22,6 +22,12 @@
 /// Part of the planned requests that callers can be expected to use up.
 const EXPECTED_USAGE: f64 = 0.9;
 
+impl From<RateLimit> for RateBound {
+    fn from(limit: RateLimit) -> Self {
+        limit.bound()
+    }
+}
+
 /// A limit on the requests per second that a server takes from all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct RateLimit(f64);
--- a/crates/core/src/front/rate_share.rs
+++ b/crates/core/src/front/rate_share.rs
@@ -13,7 +13,7 @@
 /// Fraction of a share that is left to more urgent requests, if there have been any.
 const URGENT_FRACTION: f64 = 0.25;
 
-/// Most requests that all hosts together may send to a server within any window.
+/// Most requests that all hosts together may send within any window, to a server or for a tenant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateBound {
     /// Number of requests.
@@ -22,7 +22,7 @@
     pub window: Duration,
 }
 
-/// Limits the requests that this host sends to one server.
+/// Limits the requests that this host sends to one server or for one tenant.
 ///
 /// The limit applies to all hosts together, including those that cannot reach each other, so each
 /// host uses its share of it without coordination.
@@ -108,6 +108,17 @@
         self.send_times.push_back(now);
     }
 
+    /// Takes back a request that was counted at the time given; returns whether there was one.
+    pub fn take_back(&mut self, sent: Time) -> bool {
+        let position = self.send_times.iter().rposition(|at| *at == sent);
+        position.is_some_and(|index| self.send_times.remove(index).is_some())
+    }
+
+    /// When the earliest request that still counts was sent.
+    pub fn oldest(&self) -> Option<Time> {
+        self.send_times.front().copied()
+    }
+
     /// Clears the history; called for a server to which no limit applies.
     pub fn reset(&mut self) {
         *self = Self::default();
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod limits;
+mod quotas;
 mod reach;
 mod selection;
 mod settling;
@@ -26,6 +27,8 @@
 use crate::time::Time;
 
 pub use limits::RateLimitReport;
+use quotas::Quotas;
+pub use quotas::{AllowanceNeed, TenantUsage};
 use reach::Reach;
 use settling::Settling;
 pub use types::{
@@ -68,6 +71,7 @@
     splitter: WeightedSplitter,
     retry_budget: RetryBudgetShare,
     key_counts: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
+    quotas: Quotas,
     admission: Admission,
     /// This host's share of the requests for a service, as the leader has told it last.
     demand_shares: BTreeMap<Arc<str>, f64>,
@@ -106,6 +110,7 @@
             splitter: WeightedSplitter::default(),
             retry_budget,
             key_counts: BTreeMap::new(),
+            quotas: Quotas::default(),
             admission: Admission::default(),
             demand_shares: BTreeMap::new(),
             shares_told: Time::ZERO,
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -139,6 +139,7 @@
         sends: usize,
         time_left: Duration,
     ) -> Result<Target, RouteRefusal> {
+        self.check_quota(now, plan)?;
         let chosen = match key {
             Some(key) if plan.keyed => self.key_owner(now, plan, key)?,
             _ if plan.keyed => return Err(RouteRefusal::new(RefusalCause::NoOwner, KEY_MOVE_TIME)),
@@ -171,6 +172,7 @@
             state.record_limited_send(now);
         }
         state.load.request_sent(now);
+        self.quotas.record_send(now, plan);
         let may_be_saturated = state.may_be_saturated(now);
         let entry = state.entry.clone();
         let is_remote = self.region_of(&entry.domain) != self.region_of(&self.settings.domain);
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use crate::front::config::Route;
+use crate::front::quota::QuotaTolerance;
 use crate::front::servers::ServerEntry;
-use crate::front::tenant::{Tenant, Tenants};
+use crate::front::tenant::{Quota, Tenant, Tenants};
 use crate::ids::ServerKey;
 use crate::time::Time;
 
@@ -36,6 +37,8 @@
     pub warm_factor: f64,
     /// Requests per second by which the request rate of a cold server may be exceeded in addition.
     pub warm_slack: f64,
+    /// How the quotas of tenants are compared with their requests.
+    pub quota: QuotaTolerance,
 }
 
 /// A request for which a route was found.
@@ -63,6 +66,13 @@
         priority.unwrap_or(self.route.priority)
     }
 
+    /// The tenant that sends the request and its quota, if it has one.
+    #[must_use]
+    pub fn quota(&self) -> Option<(&Arc<str>, Quota)> {
+        let tenant = self.tenant.as_ref()?;
+        Some((&tenant.name, tenant.quota?))
+    }
+
     /// Whether both the route and the tenant allow the request in a region.
     #[must_use]
     pub fn allows_region(&self, region: Option<&String>) -> bool {
@@ -116,6 +126,8 @@
     NoRoute,
     /// The route needs the key of a tenant, and the request has none that is valid.
     UnknownKey,
+    /// The quota of the tenant is used up, or this host's share of it.
+    Quota,
     /// No server of the service is eligible.
     NoServer,
     /// No server holds the key now.
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use super::quota::QuotaTolerance;
 use super::router::RouterSettings;
 
 /// Minimum share of a CPU core for a host that relays data to all other hosts. Every host of the
@@ -91,6 +92,11 @@
             drain: self.drain,
             warm_factor: self.warm_factor,
             warm_slack: self.warm_slack,
+            quota: QuotaTolerance {
+                window: self.quota_window,
+                overshoot: self.quota_overshoot,
+                slack: self.quota_slack,
+            },
         }
     }
 
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -6,8 +6,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    Config, Limits, Route, Router, RouterSettings, RoutingSpan, RoutingTable, ServerEntry, Service,
-    WeightedService,
+    Config, Limits, QuotaTolerance, Route, Router, RouterSettings, RoutingSpan, RoutingTable,
+    ServerEntry, Service, WeightedService,
 };
 
 /// A service whose servers hold keys.
@@ -120,5 +120,10 @@
         drain: Duration::from_millis(2_500),
         warm_factor: 1.5,
         warm_slack: 5.0,
+        quota: QuotaTolerance {
+            window: Duration::from_secs(5),
+            overshoot: 0.1,
+            slack: 20.0,
+        },
     })
 }
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -13,6 +13,8 @@
 mod members;
 mod odd_entries;
 mod pauses;
+mod quota_hosts;
+mod quotas;
 mod rate_limits;
 mod reach;
 mod restored_store;
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -378,11 +378,14 @@
     let counters = &host.counters;
     match response.status {
         401 | 404 | 503 => counters.refused.add(),
+        429 if response.refusal() == Some(RefusalCause::Quota) => counters.refused.add(),
         502 | 504 => counters.doubtful.add(),
         _ => counters.answered.add(),
     }
-    if response.refusal() == Some(RefusalCause::Paused) {
-        counters.paused.add();
+    match response.refusal() {
+        Some(RefusalCause::Paused) => counters.paused.add(),
+        Some(RefusalCause::Quota) => counters.over_quota.add(),
+        _ => {}
     }
     if response.status >= 400 {
         let detail = format!(
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -44,6 +44,12 @@
     relayed = "requests_relayed_total";
     /// Requests to the leader for more than this host's share of a limit.
     allowances_asked = "allowances_asked_total";
+    /// Requests refused because the quota of their tenant is used up.
+    over_quota = "requests_over_quota_total";
+    /// Requests to the leader for more than this host's share of a tenant's quota.
+    tenant_allowances_asked = "tenant_allowances_asked_total";
+    /// Requests of tenants that the leader has granted beyond this host's share.
+    tenant_allowances_granted = "tenant_allowances_granted_total";
     /// Requests that may have run but have no response.
     doubtful = "requests_doubtful_total";
     /// Requests whose caller disconnected.
@@ -70,6 +76,11 @@
         self.0.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Adds a number.
+    pub(crate) fn add_many(&self, number: u32) {
+        self.0.fetch_add(u64::from(number), Ordering::Relaxed);
+    }
+
     /// The current value.
     pub(crate) fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -211,6 +211,7 @@
             buffered_bytes: self.buffers.used() as u64,
             limited_servers: self.with_router(|router, _| router.rate_limit_count()) as u64,
             paused_servers: self.with_router(|router, now| router.paused_count(now)) as u64,
+            quota_use: self.with_router(|router, now| router.quota_use(now)),
             leaving_servers: self.with_router(|router, _| router.leaving_count()) as u64,
         };
         self.counters.to_text() + &gauges.to_text()
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -19,8 +19,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    ClusterState, DemandShares, Granter, GranterTiming, Members, Placement, RatePool, RoutingTable,
-    StoreRevision,
+    ClusterState, DemandShares, Granter, GranterTiming, Members, Placement, QuotaLedger, RatePool,
+    RoutingTable, StoreRevision,
 };
 use amaranthshunt_core::log::EventCode;
 use amaranthshunt_platform as platform;
@@ -41,7 +41,7 @@
 use era::EraWatch;
 use execution::execute_order;
 use heartbeat::send_heartbeat;
-pub(crate) use heartbeat::take_key_counts;
+pub(crate) use heartbeat::{take_key_counts, take_tenant_usage};
 pub(crate) use leader_state::LeaderState;
 use record::{StoredRecord, WriteOutcome, read_record, record_exists, write_record_if};
 
@@ -124,7 +124,10 @@
     let record = stored.succeed(host, is_first);
     let written_from = clock::now();
     match write_record_if(host, &record, stored.revision).await {
-        WriteOutcome::Done(revision) => lead(host, record, revision, written_from, hosts).await,
+        WriteOutcome::Done(revision) => {
+            let is_first = is_first && stored.placement.is_none();
+            lead(host, record, revision, written_from, hosts, is_first).await;
+        }
         WriteOutcome::Conflict(..) => {}
         WriteOutcome::Failed(error) => {
             log::warn!("cannot take over the placement record: {error}");
@@ -133,13 +136,15 @@
     }
 }
 
-/// Acts as the leader until another host is, or this one shuts down.
+/// Acts as the leader until another host is, or this one shuts down; `is_first` is whether no host can
+/// have led before.
 async fn lead(
     host: &Arc<EntryHost>,
     record: Placement,
     revision: StoreRevision,
     written_from: Time,
     hosts: &BTreeMap<String, SocketAddr>,
+    is_first: bool,
 ) {
     let timing = GranterTiming {
         lease: GRANT_LEASE.min(host.settings.max_lease),
@@ -176,6 +181,11 @@
         rewriting: AtomicBool::new(false),
         demand: Mutex::new(DemandShares::new(started)),
         pool: Mutex::new(RatePool::new(started)),
+        quotas: Mutex::new(QuotaLedger::new(
+            started,
+            host.settings.router().quota,
+            is_first,
+        )),
         end_reason: Mutex::default(),
     });
     host.set_leader_state(Some(leader.clone()));
--- a/crates/front/src/leadership/heartbeat.rs
+++ b/crates/front/src/leadership/heartbeat.rs
@@ -11,7 +11,7 @@
 use crate::lock::lock;
 use crate::messages::{
     Body, CrashesMessage, DemandShareMessage, DepartureMessage, Heartbeat, HelperMessage,
-    KeyCounts, OverloadMessage, Report,
+    KeyCounts, OverloadMessage, Report, TenantShareMessage, TenantUsageMessage,
 };
 use crate::watch::KINDS;
 
@@ -28,10 +28,12 @@
     let key_counts = take_key_counts(host);
     let missing = host.take_missing_keys();
     let term = lock(&leader.granter).term();
+    // Another leader may divide quotas anew once this one is no longer confirmed.
+    let may_lead = leader.may_send_orders(now);
     leader.handle_report(
         &host.settings.name,
         Report {
-            echo: 0,
+            echo: now.as_micros(),
             key_counts,
             missing,
             term: 0,
@@ -40,6 +42,7 @@
             lacks_servers: false,
             departures: Vec::new(),
             crashes: None,
+            tenants: take_tenant_usage(host),
         },
     );
     let member_count = lock(&leader.members).count();
@@ -73,6 +76,8 @@
         helpers: Vec::new(),
         departures: Vec::new(),
         crashes: None,
+        tenant_shares: Vec::new(),
+        counts_quotas: may_lead,
     };
     let (recent, all) = host.with_router(|router, now| {
         let recent = router.departures(now - NEWS_TELLING);
@@ -84,6 +89,7 @@
     let recent_crashes = crashes_since(now - NEWS_TELLING);
     let own = lock(&leader.demand).tell(now, &host.settings.name);
     host.with_router(|router, now| router.update_demand_shares(now, own));
+    settle_quotas(host, leader, now, may_lead);
     let list = update_helpers(host, leader);
     leader.send_each(|name, follower| {
         let shares = lock(&leader.demand).tell(now, name);
@@ -95,7 +101,16 @@
         };
         let messages = shares.iter();
         let messages = messages.map(|(service, share)| DemandShareMessage::new(service, *share));
+        let tenant_shares = if may_lead {
+            lock(&leader.quotas).tell(now, name)
+        } else {
+            Vec::new()
+        };
+        let tenant_shares = tenant_shares.iter();
+        let tenant_shares =
+            tenant_shares.map(|(tenant, share)| TenantShareMessage::new(tenant, *share));
         Body::Heartbeat(Heartbeat {
+            tenant_shares: tenant_shares.collect(),
             demand_shares: messages.collect(),
             helpers,
             departures: departures.iter().map(DepartureMessage::from).collect(),
@@ -121,6 +136,29 @@
     list.clone()
 }
 
+/// Adds up the shares of tenants' quotas, and takes this host's own.
+fn settle_quotas(host: &EntryHost, leader: &LeaderState, now: Time, may_lead: bool) {
+    let host_count = leader.known_hosts(host);
+    let config = host.with_router(|router, _| router.config().cloned());
+    let tenants = config.as_ref().and_then(|config| config.tenants.as_ref());
+    let mut quotas = lock(&leader.quotas);
+    quotas.settle(now, host_count, |name| tenants?.named(name)?.quota);
+    let own = if may_lead {
+        quotas.tell(now, &host.settings.name)
+    } else {
+        Vec::new()
+    };
+    drop(quotas);
+    host.with_router(|router, now| router.update_quota_shares(now, now, may_lead, own));
+}
+
+/// Takes the requests of tenants with quotas since the last call, in the form in which they are sent to
+/// the leader.
+pub(crate) fn take_tenant_usage(host: &EntryHost) -> Vec<TenantUsageMessage> {
+    let usages = host.with_router(|router, now| router.take_tenant_usage(now));
+    usages.iter().map(TenantUsageMessage::from).collect()
+}
+
 /// Takes the request counts by key since the last call, in the form in which they are sent to the
 /// leader.
 pub(crate) fn take_key_counts(host: &EntryHost) -> Vec<KeyCounts> {
--- a/crates/front/src/leadership/leader_state.rs
+++ b/crates/front/src/leadership/leader_state.rs
@@ -8,7 +8,8 @@
 
 use amaranthshunt_core::Time;
 use amaranthshunt_core::front::{
-    DemandShares, Granter, Members, Placement, RatePool, Router, StoreRevision,
+    DemandShares, Granter, Members, Placement, QuotaLedger, RatePool, Router, StoreRevision,
+    TenantUsage,
 };
 use async_std::channel::{Sender, TrySendError};
 use bytes::Bytes;
@@ -47,6 +48,8 @@
     /// Requests that callers sent to each host.
     pub(super) demand: Mutex<DemandShares>,
     pub(super) pool: Mutex<RatePool>,
+    /// Hosts' shares of tenants' quotas.
+    pub(super) quotas: Mutex<QuotaLedger>,
     /// Why this host leads no longer.
     pub(super) end_reason: Mutex<Option<String>>,
 }
@@ -172,13 +175,33 @@
         let Some((limit, service)) = router.rate_limit(server) else {
             // The limit has ended, and the response to the request will tell the host that asks.
             let is_known = router.servers().find(server).is_some();
-            return is_known.then_some(()).ok_or(Duration::ZERO);
+            return is_known.then_some(1).ok_or(Duration::ZERO);
         };
         if !self.may_send_orders(now) {
             return Err(Duration::ZERO);
         }
         let divided = lock(&self.demand).divided_requests(now, &service, limit, router.hosts());
-        lock(&self.pool).take(now, server, limit, divided)
+        let taken = lock(&self.pool).take(now, server, limit, divided);
+        taken.map(|()| 1)
+    }
+
+    /// Counts out some requests of a tenant beyond what its quota leaves to the hosts.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until there may be one.
+    pub(crate) fn count_out_quota(
+        &self,
+        router: &Router,
+        now: Time,
+        tenant: &Arc<str>,
+        wanted: u32,
+    ) -> AllowanceReply {
+        let quota = router.quota(tenant).ok_or(Duration::ZERO)?;
+        if !self.may_send_orders(now) {
+            return Err(Duration::ZERO);
+        }
+        lock(&self.quotas).count_out(now, tenant, quota, wanted)
     }
 
     /// Processes the report of a follower or of the leader itself.
@@ -187,8 +210,10 @@
             follower.last_echo = Time::from_micros(report.echo);
             follower.lacks_servers = report.lacks_servers;
         }
+        let usages: Vec<TenantUsage> = report.tenants.iter().map(TenantUsage::from).collect();
+        let (now, echo) = (clock::now(), Time::from_micros(report.echo));
+        lock(&self.quotas).record(now, echo, name, &usages);
         let mut granter = lock(&self.granter);
-        let now = clock::now();
         if report.term > granter.term() {
             self.supersede(format!("host {name} knows of term {}", report.term));
         }
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -4,6 +4,7 @@
 //! what.
 
 mod crashes;
+mod quotas;
 mod table;
 
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use prost::{Message, Oneof};
 
 pub(crate) use crashes::CrashesMessage;
+pub(crate) use quotas::{TenantNeed, TenantShareMessage, TenantUsageMessage};
 pub(crate) use table::TableMessage;
 
 /// The frame of every message.
@@ -57,7 +59,7 @@
     /// Changes that the leader has read from the store.
     #[prost(message, tag = "10")]
     StoreUpdate(StoreUpdate),
-    /// Asks for one more request to a server that names a limit.
+    /// Asks for more requests to a server that names a limit, or of a tenant with a quota.
     #[prost(message, tag = "11")]
     RequestAllowance(RequestAllowance),
     /// The reply to it.
@@ -84,7 +86,8 @@
     pub(crate) address: String,
 }
 
-/// A follower's request for one more request to a server than its share of the limit allows.
+/// A follower's request for more requests than its share of a limit allows: one to a server, or some of
+/// a tenant.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct RequestAllowance {
     /// Number that the reply repeats.
@@ -93,6 +96,9 @@
     /// The limit of the server as the sender knows it.
     #[prost(message, optional, tag = "2")]
     pub(crate) limit: Option<LimitMessage>,
+    /// The tenant, if its quota is the limit. A leader that does not know this field grants nothing.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) need: Option<TenantNeed>,
 }
 
 /// The leader's reply to a [`RequestAllowance`].
@@ -103,6 +109,27 @@
     /// Milliseconds until there may be one; missing if the request may be sent.
     #[prost(uint64, optional, tag = "2")]
     pub(crate) wait_ms: Option<u64>,
+    /// Number of requests that may be sent; missing for one.
+    #[prost(uint32, optional, tag = "3")]
+    pub(crate) granted: Option<u32>,
+}
+
+impl Allowance {
+    /// The reply: the number of requests that may be sent, or the time until there may be one.
+    pub(crate) fn new(number: u64, reply: Result<u32, Duration>) -> Self {
+        Self {
+            number,
+            wait_ms: reply.err().map(|wait| wait.as_millis() as u64),
+            granted: reply.ok(),
+        }
+    }
+
+    pub(crate) fn to_reply(&self) -> Result<u32, Duration> {
+        match self.wait_ms {
+            None => Ok(self.granted.unwrap_or(1)),
+            Some(millis) => Err(Duration::from_millis(millis)),
+        }
+    }
 }
 
 /// Identifies a follower.
@@ -177,6 +204,12 @@
     /// first heartbeat.
     #[prost(message, optional, tag = "14")]
     pub(crate) crashes: Option<CrashesMessage>,
+    /// The receiver's shares of tenants' quotas.
+    #[prost(message, repeated, tag = "15")]
+    pub(crate) tenant_shares: Vec<TenantShareMessage>,
+    /// Whether the sender counts out what is left of tenants' quotas; see [`RequestAllowance`].
+    #[prost(bool, tag = "16")]
+    pub(crate) counts_quotas: bool,
 }
 
 impl Heartbeat {
@@ -355,6 +388,9 @@
     /// report to a leader.
     #[prost(message, optional, tag = "9")]
     pub(crate) crashes: Option<CrashesMessage>,
+    /// Requests of tenants with quotas, and the shares that the sender holds.
+    #[prost(message, repeated, tag = "10")]
+    pub(crate) tenants: Vec<TenantUsageMessage>,
 }
 
 /// A server that has told in a response that it leaves.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -17,11 +17,11 @@
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::Connection;
-use crate::leadership::{LeaderState, take_key_counts};
+use crate::leadership::{LeaderState, take_key_counts, take_tenant_usage};
 use crate::link::Link;
 use crate::messages::{
     Allowance, Body, CrashesMessage, DemandShareMessage, DepartureMessage, Heartbeat, Hello,
-    LimitMessage, Report, RequestAllowance, TableMessage,
+    LimitMessage, Report, RequestAllowance, TableMessage, TenantShareMessage,
 };
 use crate::watch::{self, KINDS};
 
@@ -186,18 +186,21 @@
     }
 }
 
-/// Counts out one more request to a server that names a limit.
+/// Counts out requests to a server that names a limit, or of a tenant.
 fn reply_to(host: &EntryHost, leader: &LeaderState, request: RequestAllowance) -> Allowance {
+    if let Some(need) = request.need {
+        let tenant = Arc::from(need.tenant);
+        let reply = host
+            .with_router(|router, now| leader.count_out_quota(router, now, &tenant, need.count));
+        return Allowance::new(request.number, reply);
+    }
     let limits = request.limit.into_iter().collect::<Vec<LimitMessage>>();
     let server = limits.first().map(|limit| Arc::from(limit.server.as_str()));
     apply_rate_limits(host, limits);
     let reply = server.map_or(Err(Duration::ZERO), |server| {
         host.with_router(|router, now| leader.count_out(router, now, &server))
     });
-    Allowance {
-        number: request.number,
-        wait_ms: reply.err().map(|wait| wait.as_millis() as u64),
-    }
+    Allowance::new(request.number, reply)
 }
 
 /// Follows the leader until it is lost or resigns.
@@ -271,7 +274,11 @@
                     .iter()
                     .map(DemandShareMessage::to_share)
                     .collect();
+                let tenant_shares = heartbeat.tenant_shares.iter();
+                let tenant_shares = tenant_shares.map(TenantShareMessage::to_share).collect();
+                let counts_quotas = heartbeat.counts_quotas;
                 host.with_router(|router, now| {
+                    router.update_quota_shares(now, now - delay, counts_quotas, tenant_shares);
                     router.set_hosts(heartbeat.host_count as usize);
                     router.set_overloads(now, &overloads);
                     if heartbeat.counts_limits {
@@ -344,6 +351,7 @@
             .map(DepartureMessage::from)
             .collect(),
         crashes: CrashesMessage::new(clock::now(), &crashes),
+        tenants: take_tenant_usage(host),
     }
 }
 
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -13,7 +13,7 @@
 use amaranthshunt_core::ids::ServerKey;
 use amaranthshunt_platform as platform;
 
-use crate::allowances::ask_allowance;
+use crate::allowances::{ask_allowance, await_quota};
 use crate::clock;
 use crate::entry_host::EntryHost;
 use crate::http::{Body, BufferAccount, RequestHead};
@@ -26,6 +26,9 @@
 
 /// Minimum time that must remain until the deadline for an attempt to start.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
+/// Times that a request waits for more of its tenant's quota: a reply of the leader, and the next one if
+/// others have used up what it granted.
+const MAX_QUOTA_WAITS: u32 = 4;
 /// Failed connection attempts after which a request is given up.
 const UNREACHABLE_LIMIT: usize = 4;
 
@@ -142,6 +145,9 @@
             });
         }
         let chosen = host.with_router(|router, now| {
+            if !std::mem::replace(&mut attempts.is_counted, true) {
+                router.record_tenant_demand(&request.plan);
+            }
             router.select_server(
                 now,
                 &request.plan,
@@ -153,6 +159,17 @@
         });
         let target = match chosen {
             Ok(target) => target,
+            Err(refusal) if refusal.cause == RefusalCause::Quota => {
+                attempts.quota_waits += 1;
+                if attempts.quota_waits <= MAX_QUOTA_WAITS
+                    && await_quota(&host, &request.plan).await
+                {
+                    continue;
+                }
+                let refusal =
+                    host.with_router(|router, now| router.quota_refusal(now, &request.plan));
+                return attempts.final_response(refusal);
+            }
             Err(refusal) if attempts.may_ask(&refusal) => {
                 attempts.has_asked = true;
                 if ask_allowance(&host, &request.plan, request.shard_key()).await {
@@ -234,6 +251,10 @@
     misdirected: bool,
     /// Whether the leader has been asked for a request beyond this host's share of a limit.
     has_asked: bool,
+    /// Whether the request is counted as its tenant's.
+    is_counted: bool,
+    /// How often the request has waited for more of its tenant's quota.
+    quota_waits: u32,
     refusal: Option<RouteRefusal>,
     /// Status and log detail of an attempt after which the request may have run.
     maybe_ran: Option<(u16, String)>,
--- a/crates/front/src/proxy/attempt.rs
+++ b/crates/front/src/proxy/attempt.rs
@@ -46,6 +46,15 @@
             .with_router(|router, now| router.record_outcome(now, self.target, outcome, report));
     }
 
+    /// Ends the attempt of a request that no server has executed, so that it does not count towards its
+    /// tenant's quota.
+    fn finish_not_run(&mut self, outcome: AttemptOutcome, report: Option<LoadReport>) {
+        self.finish(outcome, report);
+        let (plan, sent) = (&self.request.plan, self.target.sent);
+        self.host
+            .with_router(|router, now| router.return_quota(now, plan, sent));
+    }
+
     /// Records the result of sending the request; returns what follows from it.
     pub(super) fn evaluate(mut self, result: SendResult, attempts: &mut Attempts) -> NextStep {
         let server = &self.target.entry.id;
@@ -55,14 +64,14 @@
                 self.evaluate_response(response, attempts)
             }
             SendResult::Withdrawn => {
-                self.finish(AttemptOutcome::Abandoned, None);
+                self.finish_not_run(AttemptOutcome::Abandoned, None);
                 NextStep::NotRun(RouteRefusal {
                     cause: RefusalCause::NoServer,
                     retry_after: Some(Duration::from_millis(200)),
                 })
             }
             SendResult::Unreachable => {
-                self.finish(AttemptOutcome::Unreachable, None);
+                self.finish_not_run(AttemptOutcome::Unreachable, None);
                 attempts.unreachable += 1;
                 attempts.avoided.push(self.target.server);
                 NextStep::NotRun(RouteRefusal {
@@ -71,14 +80,14 @@
                 })
             }
             SendResult::Pointless(cause) => {
-                self.finish(AttemptOutcome::Abandoned, None);
+                self.finish_not_run(AttemptOutcome::Abandoned, None);
                 NextStep::Done(attempts.final_response(RouteRefusal {
                     cause,
                     retry_after: None,
                 }))
             }
             SendResult::Saturated => {
-                self.finish(AttemptOutcome::Saturated, None);
+                self.finish_not_run(AttemptOutcome::Saturated, None);
                 attempts.unreachable += 1;
                 attempts.avoided.push(self.target.server);
                 NextStep::NotRun(RouteRefusal {
@@ -126,7 +135,7 @@
             } else {
                 AttemptOutcome::NotRun
             };
-            self.finish(outcome, report);
+            self.finish_not_run(outcome, report);
             if misdirected && self.request.plan.keyed {
                 attempts.misdirected = true;
                 if let Some(key) = self.request.shard_key() {
--- a/crates/front/src/proxy/relay.rs
+++ b/crates/front/src/proxy/relay.rs
@@ -205,17 +205,16 @@
     if own_causes.iter().any(|own| format!("{own:?}") == cause) {
         return RelayResult::Unavailable;
     }
-    let is_quarantined = format!("{:?}", RefusalCause::Quarantined) == cause;
+    let kept_causes = [RefusalCause::Quarantined, RefusalCause::Quota];
+    let kept = kept_causes
+        .into_iter()
+        .find(|kept| format!("{kept:?}") == cause);
     let seconds = headers
         .get("retry-after")
         .and_then(|text| text.parse::<f64>().ok());
     let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     RelayResult::Refused(RouteRefusal {
-        cause: if is_quarantined {
-            RefusalCause::Quarantined
-        } else {
-            RefusalCause::Busy
-        },
+        cause: kept.unwrap_or(RefusalCause::Busy),
         retry_after,
     })
 }
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -118,6 +118,7 @@
         let status = match refusal.cause {
             RefusalCause::NoRoute => 404,
             RefusalCause::UnknownKey => 401,
+            RefusalCause::Quota => 429,
             _ => 503,
         };
         let detail = format!("refused: {:?}", refusal.cause);
@@ -135,6 +136,7 @@
             404 => "Not Found",
             408 => "Request Timeout",
             413 => "Content Too Large",
+            429 => "Too Many Requests",
             431 => "Request Header Fields Too Large",
             502 => "Bad Gateway",
             503 => "Service Unavailable",
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod server_limit;
 mod site;
 mod stranded_host;
+mod tenants;
 mod two_leaders;
 
 use std::path::Path;
--- a/crates/host/tests/platform/site.rs
+++ b/crates/host/tests/platform/site.rs
@@ -247,23 +247,47 @@
 
 /// Adds a host that reads the store at an address.
 pub(crate) async fn add_host_at(name: &str, store: SocketAddr, node: &str) -> SecondHost {
+    let host = spawn_host_at(name, store, node, |text| text.to_owned()).await;
+    wait_until("the second host serves keys", async || {
+        status(&send(host.callers, Method::Get, "/read/x", "second").await) == 200
+    })
+    .await;
+    host
+}
+
+/// Adds a host with changed settings, and waits until it serves.
+pub(crate) async fn add_host_with(
+    site: &Site,
+    name: &str,
+    change: impl Fn(&str) -> String,
+    serves: impl AsyncFn(SocketAddr) -> bool,
+) -> SecondHost {
+    let host = spawn_host_at(name, site.store.address(), "host-1", change).await;
+    wait_until("the second host serves", async || {
+        serves(host.callers).await
+    })
+    .await;
+    host
+}
+
+async fn spawn_host_at(
+    name: &str,
+    store: SocketAddr,
+    node: &str,
+    change: impl Fn(&str) -> String,
+) -> SecondHost {
     let store = FaultProxy::start(free_address(), store).await.unwrap();
     let (callers, ready) = (free_address(), free_address());
     let folder = std::env::temp_dir().join(format!("amaranthshunt-{name}-{}", std::process::id()));
     let text = settings(store.address(), callers, ready).replace("host-0", node);
-    let child = spawn(&folder, &text);
-    let host = SecondHost {
+    let child = spawn(&folder, &change(&text));
+    SecondHost {
         store,
         callers,
         ready,
         child,
         folder,
-    };
-    wait_until("the second host serves keys", async || {
-        status(&send(host.callers, Method::Get, "/read/x", "second").await) == 200
-    })
-    .await;
-    host
+    }
 }
 
 pub(crate) fn signal(site: &Site, signal: Signal) {
--- a/crates/support/src/platform/recorder.rs
+++ b/crates/support/src/platform/recorder.rs
@@ -15,6 +15,10 @@
     pub server: String,
     /// When the execution started.
     pub began: Instant,
+    /// The request's `Tenant-Id`.
+    pub tenant: Option<String>,
+    /// Whether the request has a header `Authorization`.
+    pub has_key: bool,
 }
 
 /// A key range that a server holds until it is released or expires.
--- a/crates/support/src/platform/upstream.rs
+++ b/crates/support/src/platform/upstream.rs
@@ -310,6 +310,8 @@
         request: id.to_owned(),
         server: upstream.incarnation_id(),
         began: Instant::now(),
+        tenant: header(&request, "Tenant-Id"),
+        has_key: header(&request, "Authorization").is_some(),
     });
     let poison = lock(&upstream.state).poison.clone();
     if let Some((_, down)) = poison.filter(|(path, _)| request.url().path().ends_with(path)) {
