--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -16,6 +16,8 @@
 mod load;
 mod members;
 mod placement;
+mod quota;
+mod quota_ledger;
 mod rate_limit;
 mod rate_pool;
 mod rate_share;
@@ -43,14 +45,16 @@
 pub use load::{LoadReport, ServerLoad};
 pub use members::Members;
 pub use placement::{KeySpan, Placement, RoutingSpan, RoutingTable, first_term};
+pub use quota::QuotaTolerance;
+pub use quota_ledger::QuotaLedger;
 pub use rate_limit::RateLimit;
 pub use rate_pool::RatePool;
 pub use rate_share::{RateBound, RateShareLimiter};
 pub use response_order::{MAX_IN_FLIGHT, NextResponse, ResponseOrder, Ticket};
 pub use retry_budget::RetryBudgetShare;
 pub use router::{
-    AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan, RouteRefusal, Router,
-    RouterSettings, Target,
+    AllowanceNeed, AttemptOutcome, Credentials, RateLimitReport, RefusalCause, RoutePlan,
+    RouteRefusal, Router, RouterSettings, Target, TenantUsage,
 };
 pub use server_signals::{Departure, LimitSignal, ServerSignals};
 pub use server_speeds::{ServerSpeeds, ServiceTime, ServiceTimes};
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -46,6 +46,12 @@
     pipelined = "requests_pipelined_total";
     /// Requests to the leader for more than this host's share of a limit.
     allowances_asked = "allowances_asked_total";
+    /// Requests refused because the quota of their tenant is used up.
+    over_quota = "requests_over_quota_total";
+    /// Requests to the leader for more than this host's share of a tenant's quota.
+    tenant_allowances_asked = "tenant_allowances_asked_total";
+    /// Requests of tenants that the leader has granted beyond this host's share.
+    tenant_allowances_granted = "tenant_allowances_granted_total";
     /// Requests that may have run but have no response.
     doubtful = "requests_doubtful_total";
     /// Requests whose caller disconnected.
