Queue, work estimates and byte bounds for overload control

Change: AdmissionQueue (pure, bounded, ordered by priority, slack and work; sheds what costs callers least), WorkEstimates (by route, service and server speed, LRU-bounded), and router/overload.rs: a depth for less urgent requests that adapts to whether urgent responses are late, refusal at once of what certainly misses its deadline, bounds on the bytes of large bodies in flight, a penalty for distance that grows with the body, Retry-After from the expected wait within a third of the time left. All of it only with overload control; selection is otherwise as before.

--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod limits;
+mod overload;
 mod reach;
 mod selection;
 mod settling;
@@ -26,6 +27,7 @@
 use crate::time::Time;
 
 pub use limits::RateLimitReport;
+use overload::OverloadState;
 use reach::Reach;
 use settling::Settling;
 pub use types::{
@@ -69,6 +71,8 @@
     retry_budget: RetryBudgetShare,
     key_counts: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
     admission: Admission,
+    /// What is used only with overload control.
+    overload: OverloadState,
     /// This host's share of the requests for a service, as the leader has told it last.
     demand_shares: BTreeMap<Arc<str>, f64>,
     /// When the leader last told the shares.
@@ -107,6 +111,7 @@
             retry_budget,
             key_counts: BTreeMap::new(),
             admission: Admission::default(),
+            overload: OverloadState::default(),
             demand_shares: BTreeMap::new(),
             shares_told: Time::ZERO,
             refusal_count: 0,
@@ -153,6 +158,7 @@
             .as_ref()
             .is_none_or(|known| known.version < config.version);
         if newer {
+            self.overload.has_uploads = config.has_uploads();
             self.config = Some(config);
         }
         newer
@@ -248,6 +254,7 @@
         }
         let baseline = self.baseline_latency(&target.entry.service);
         let typical = self.typical_load(&target.entry.service);
+        self.record_work(now, target, outcome, report);
         let has_many_hosts = self.hosts >= MANY_HOSTS;
         let services = self.config.as_ref().map(|config| &config.services);
         let service = services.and_then(|services| services.get(&target.entry.service));
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -91,6 +91,9 @@
             drain: self.drain,
             warm_factor: self.warm_factor,
             warm_slack: self.warm_slack,
+            overload_control: self.overload_control,
+            link_rate: self.link_mbps.map(|mbps| mbps * 1e6 / 8.0),
+            memory: self.memory(),
         }
     }
 
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -107,8 +107,13 @@
 
 /// A router of a host in `east-a`, without configuration or servers.
 pub(crate) fn router_of(name: &str) -> Router {
+    router_with(name, |_| {})
+}
+
+/// The same with other settings.
+pub(crate) fn router_with(name: &str, adjust: impl Fn(&mut RouterSettings)) -> Router {
     let regions = [("east-a", "east"), ("east-b", "east"), ("west-a", "west")];
-    Router::new(RouterSettings {
+    let mut settings = RouterSettings {
         name: name.to_owned(),
         domain: "east-a".to_owned(),
         regions: regions
@@ -120,5 +125,10 @@
         drain: Duration::from_millis(2_500),
         warm_factor: 1.5,
         warm_slack: 5.0,
-    })
+        overload_control: false,
+        link_rate: None,
+        memory: 256e6,
+    };
+    adjust(&mut settings);
+    Router::new(settings)
 }
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the router and the granter of hosts that send requests directly to servers.
 
+mod admission_queue;
 mod balance;
 mod bounds;
 mod crash_tracker;
@@ -9,6 +10,7 @@
 mod grants;
 mod host_delay;
 mod hot_keys;
+mod large_bodies;
 mod many_hosts;
 mod members;
 mod odd_entries;
@@ -19,4 +21,6 @@
 mod routes;
 mod servers;
 mod sim;
+mod two_priorities;
 mod voters;
+mod work_estimates;
