Let requests wait in the host's queue before their first send

Cause: a host refused what no server could take at that moment, and the caller had to come again elsewhere.

Change: AdmissionControl holds the queue, its guards and one timer; proxy/queueing.rs waits there before the first send, once, with overload control only. Waiting ends when the caller leaves (also for requests that may not be repeated), when another cause than lack of capacity shows, and on shutdown (refused as not run). Refusals are counted by reason, the queue has gauges by priority. requests_limited_total now counts every refusal because of a limit, also one after the leader has been asked.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -250,6 +250,7 @@
             Some(refuse_request(host, &id, leaving))
         }
         Ok(plan) => {
+            let plan = plan.with_body(body.len());
             let time_to_answer = host.time_to_answer();
             let caller_timeout = caller_timeout.into_iter().chain(time_to_answer).min();
             let request = Request {
@@ -381,8 +382,8 @@
         502 | 504 => counters.doubtful.add(),
         _ => counters.answered.add(),
     }
-    if response.refusal() == Some(RefusalCause::Paused) {
-        counters.paused.add();
+    if let Some(cause) = response.refusal() {
+        counters.record_refusal(cause);
     }
     if response.status >= 400 {
         let detail = format!(
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -13,6 +13,7 @@
 use amaranthshunt_platform::Kind;
 use async_std::task::JoinHandle;
 
+use crate::admission::AdmissionControl;
 use crate::allowances::Allowances;
 use crate::clock;
 use crate::counters::Counters;
@@ -49,6 +50,8 @@
     pub(crate) suspects: Suspects,
     /// What this host asks the leader for beyond its share of servers' limits.
     pub(crate) allowances: Allowances,
+    /// Requests that wait for a server.
+    pub(crate) admission: AdmissionControl,
     /// Memory of the messages in hand.
     pub(crate) buffers: BufferBudget,
     router: Mutex<Router>,
@@ -85,6 +88,7 @@
             helpers: Helpers::default(),
             suspects: Suspects::default(),
             allowances: Allowances::default(),
+            admission: AdmissionControl::new(&settings),
             buffers: BufferBudget::new(settings.buffer_memory()),
             router: Mutex::new(Router::new(settings.router())),
             logged_era: AtomicU64::new(0),
@@ -212,6 +216,8 @@
             limited_servers: self.with_router(|router, _| router.rate_limit_count()) as u64,
             paused_servers: self.with_router(|router, now| router.paused_count(now)) as u64,
             leaving_servers: self.with_router(|router, _| router.leaving_count()) as u64,
+            queues: self.admission.depths(),
+            body_bytes: self.with_router(|router, _| router.bytes_in_flight()) as u64,
         };
         self.counters.to_text() + &gauges.to_text()
     }
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use amaranthshunt_core::front::QueueDepth;
+
 /// What a host knows at the moment.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gauges {
@@ -19,11 +21,15 @@
     pub(crate) leaving_servers: u64,
     /// Servers that have asked this host for a pause.
     pub(crate) paused_servers: u64,
+    /// The queue by priority: 0, 1 and all others.
+    pub(crate) queues: [QueueDepth; 3],
+    /// Bytes of large bodies in flight to servers.
+    pub(crate) body_bytes: u64,
 }
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 7] = [
+    pub const NAMES: [&'static str; 14] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
         "amaranthshunt_store_era",
@@ -31,10 +37,19 @@
         "amaranthshunt_limited_servers",
         "amaranthshunt_leaving_servers",
         "amaranthshunt_paused_servers",
+        "amaranthshunt_queue_requests_priority_0",
+        "amaranthshunt_queue_requests_priority_1",
+        "amaranthshunt_queue_requests_priority_2",
+        "amaranthshunt_queue_age_milliseconds_priority_0",
+        "amaranthshunt_queue_age_milliseconds_priority_1",
+        "amaranthshunt_queue_age_milliseconds_priority_2",
+        "amaranthshunt_large_body_bytes",
     ];
 
     /// Every gauge in the Prometheus text format.
     pub(crate) fn to_text(self) -> String {
+        let requests = self.queues.map(|queue| queue.requests as u128);
+        let ages = self.queues.map(|queue| queue.age.as_millis());
         let values = [
             u128::from(self.config_version),
             self.config_age.as_millis(),
@@ -43,6 +58,13 @@
             u128::from(self.limited_servers),
             u128::from(self.leaving_servers),
             u128::from(self.paused_servers),
+            requests[0],
+            requests[1],
+            requests[2],
+            ages[0],
+            ages[1],
+            ages[2],
+            u128::from(self.body_bytes),
         ];
         let lines = Self::NAMES
             .iter()
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,8 +5,10 @@
 //! keys, `orders` sends its grants to servers, and `peers` connects it to the other hosts. `watch`
 //! keeps the router's view of the store up to date through `store`. `reach` notices that this host
 //! reaches no server; `proxy` then passes requests on to one of the `helpers`.
-//! `suspects` refuses requests that crash servers.
+//! `suspects` refuses requests that crash servers. With overload control, requests wait for a server in
+//! the queue of `admission`.
 
+mod admission;
 mod allowances;
 mod callers;
 mod clock;
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -1,6 +1,7 @@
 //! Proxies one request to a server, with retries.
 
 mod attempt;
+mod queueing;
 mod relay;
 mod send;
 
@@ -20,6 +21,7 @@
 use crate::response::Response;
 use crate::suspects::{self, SendPermit};
 use attempt::{Attempt, NextStep};
+use queueing::select_target;
 use relay::relay;
 pub(crate) use relay::{LOST, REFUSAL, SENDS, SERVER, SERVER_START};
 use send::send;
@@ -141,24 +143,15 @@
                 retry_after: None,
             });
         }
-        let chosen = host.with_router(|router, now| {
-            router.select_server(
-                now,
-                &request.plan,
-                request.shard_key(),
-                &attempts.avoided,
-                attempts.sends,
-                remaining,
-            )
-        });
-        let target = match chosen {
+        let target = match select_target(&host, &request, &mut attempts).await {
             Ok(target) => target,
             Err(refusal) if attempts.may_ask(&refusal) => {
                 attempts.has_asked = true;
-                if ask_allowance(&host, &request.plan, request.shard_key()).await {
+                let is_granted = ask_allowance(&host, &request.plan, request.shard_key()).await;
+                // With overload control, the request may wait until the limit allows it.
+                if is_granted || host.with_router(|router, _| router.overload_control()) {
                     continue;
                 }
-                host.counters.limited.add();
                 return attempts.final_response(refusal);
             }
             Err(refusal) => return attempts.final_response(refusal),
@@ -234,6 +227,8 @@
     misdirected: bool,
     /// Whether the leader has been asked for a request beyond this host's share of a limit.
     has_asked: bool,
+    /// Whether it has waited in the host's queue.
+    has_waited: bool,
     refusal: Option<RouteRefusal>,
     /// Status and log detail of an attempt after which the request may have run.
     maybe_ran: Option<(u16, String)>,
--- a/crates/front/src/proxy/attempt.rs
+++ b/crates/front/src/proxy/attempt.rs
@@ -44,6 +44,9 @@
         self.ended = true;
         self.host
             .with_router(|router, now| router.record_outcome(now, self.target, outcome, report));
+        let plan = &self.request.plan;
+        let server = plan.keyed.then_some(self.target.server);
+        self.host.admission.record_end(&plan.service, server);
     }
 
     /// Records the result of sending the request; returns what follows from it.
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod site;
 mod stranded_host;
 mod two_leaders;
+mod waiting_requests;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
