--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -313,10 +313,8 @@
         502 | 504 => counters.doubtful.add(),
         _ => counters.answered.add(),
     }
-    match response.refusal() {
-        Some(RefusalCause::Paused) => counters.paused.add(),
-        Some(RefusalCause::Quota) => counters.over_quota.add(),
-        _ => {}
+    if let Some(cause) = response.refusal() {
+        counters.record_refusal(cause);
     }
     if response.status >= 400 {
         let detail = format!(
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -16,6 +16,7 @@
 mod tenants;
 mod two_leaders;
 mod untrusted;
+mod waiting_requests;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
