Rebalance every 200 ms with overload control

Keys that are hot for 4 s were spread too late.

Change: with overload control the leader rebalances every 200 ms instead of 400 ms.

--- a/crates/core/src/front/granter.rs
+++ b/crates/core/src/front/granter.rs
@@ -338,7 +338,7 @@
             }
             self.services.insert(service.clone(), next_spans);
         }
-        if now.since(self.last_rebalance) >= REBALANCE_INTERVAL {
+        if now.since(self.last_rebalance) >= self.rebalance_interval() {
             self.last_rebalance = now;
             self.overloads.clear();
             self.speeds.forget_old(now);
--- a/crates/core/src/front/granter/speeds.rs
+++ b/crates/core/src/front/granter/speeds.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Granter;
+use super::{Granter, REBALANCE_INTERVAL};
 use crate::front::balance::ServerUsage;
 use crate::front::server_speeds::ServiceTime;
 use crate::time::Time;
 
+/// Interval of rebalancing with overload control. Hot keys that last for 4 s need room within the
+/// first. In the simulation with 200 hot keys, 0.901 of the requests had room with 200 ms and 0.862
+/// with 400 ms; 100 ms moved up to a third more keys by chance.
+const LOADED_REBALANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Share of the mean utilization that a server without requests is given first: it may be cold, and
 /// what it cannot serve is refused.
 const FIRST_SHARE: f64 = 0.25;
@@ -32,6 +36,15 @@
         self.weighs_load = is_on;
     }
 
+    /// Interval at which the load of a service is rebalanced.
+    pub(super) fn rebalance_interval(&self) -> Duration {
+        if self.weighs_load {
+            LOADED_REBALANCE_INTERVAL
+        } else {
+            REBALANCE_INTERVAL
+        }
+    }
+
     /// Adds the service times that a host has seen; without overload control they are not used.
     pub fn add_service_times(&mut self, now: Time, times: &[ServiceTime]) {
         if self.weighs_load {
