Take the admission queue back

Cause: with the queue, callers of a deployment with priorities were served worse. Less urgent requests got fewer places at servers, and the more urgent kind gained nothing from it.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -6,7 +6,6 @@
 //! considered.
 
 mod admission;
-mod admission_queue;
 mod balance;
 mod config;
 mod crash_tracker;
@@ -34,10 +33,8 @@
 mod transit_delay;
 mod voters;
 mod weighted_split;
-mod work_estimates;
 
 pub use admission::{Admission, Overload};
-pub use admission_queue::{AdmissionQueue, Offer, QueueDepth, QueueTicket, Rejection, Waiting};
 pub use balance::{KeyRates, MoveCandidate, RateEstimate, ServerUsage};
 pub use config::{Config, Limits, Route, Service, WeightedService};
 pub use crash_tracker::{ClearanceNotice, CrashNotice, CrashNotices, CrashTracker, CrashVerdict};
@@ -67,4 +64,3 @@
 pub use tenant::{Quota, Tenant, Tenants};
 pub use transit_delay::TransitDelay;
 pub use weighted_split::WeightedSplitter;
-pub use work_estimates::{WorkEstimate, WorkEstimates, WorkKey};
--- a/crates/core/src/front/router.rs
+++ b/crates/core/src/front/router.rs
@@ -2,7 +2,6 @@
 
 mod entries;
 mod limits;
-mod overload;
 mod quotas;
 mod reach;
 mod selection;
@@ -30,7 +29,6 @@
 use crate::time::Time;
 
 pub use limits::RateLimitReport;
-use overload::OverloadState;
 use quotas::Quotas;
 pub use quotas::{AllowanceNeed, TenantUsage};
 use reach::Reach;
@@ -61,6 +59,8 @@
     /// Whether a complete list of servers has been received.
     initialized: bool,
     config: Option<Arc<Config>>,
+    /// Whether a route of the configuration has large bodies.
+    has_uploads: bool,
     servers: Servers,
     /// Servers that are removed at the given time unless they register again.
     pending_removals: BTreeMap<Arc<str>, Time>,
@@ -78,8 +78,6 @@
     key_counts: BTreeMap<Arc<str>, BTreeMap<u16, u32>>,
     quotas: Quotas,
     admission: Admission,
-    /// What is used only with overload control.
-    overload: OverloadState,
     /// This host's share of the requests for a service, as the leader has told it last.
     demand_shares: BTreeMap<Arc<str>, f64>,
     /// When the leader last told the shares.
@@ -107,6 +105,7 @@
             settings,
             initialized: false,
             config: None,
+            has_uploads: false,
             servers: Servers::default(),
             pending_removals: BTreeMap::new(),
             unreadable: BTreeMap::new(),
@@ -121,7 +120,6 @@
             key_counts: BTreeMap::new(),
             quotas: Quotas::default(),
             admission: Admission::default(),
-            overload: OverloadState::default(),
             demand_shares: BTreeMap::new(),
             shares_told: Time::ZERO,
             refusal_count: 0,
@@ -175,7 +173,7 @@
             .as_ref()
             .is_none_or(|known| known.version < config.version);
         if newer {
-            self.overload.has_uploads = config.has_uploads();
+            self.has_uploads = config.has_uploads();
             self.config = Some(config);
         }
         newer
@@ -271,7 +269,6 @@
         }
         let baseline = self.baseline_latency(&target.entry.service);
         let typical = self.assumed_load(now, &target.entry.service);
-        self.record_work(now, target, outcome, report);
         let has_many_hosts = self.hosts >= MANY_HOSTS;
         let services = self.config.as_ref().map(|config| &config.services);
         let service = services.and_then(|services| services.get(&target.entry.service));
@@ -279,7 +276,7 @@
         let entry = &target.entry;
         // The way to another region would count as work.
         let is_measured = keyed
-            && self.overload_control()
+            && self.controls_overload()
             && self.region_of(&entry.domain) == self.region_of(&self.settings.domain);
         let Some(state) = self.servers.life_mut(&entry.id, entry.start_id) else {
             return;
--- a/crates/core/src/front/router/selection.rs
+++ b/crates/core/src/front/router/selection.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use super::Router;
-use super::overload::work_key;
 use super::types::{
     Credentials, MAX_RETRY_AFTER, MIN_RETRY_AFTER, RefusalCause, RoutePlan, RouteRefusal, Target,
 };
@@ -28,11 +27,11 @@
 /// without load information do not all select the same one.
 const TIE_BREAK_WEIGHT: f64 = 0.3;
 /// Maximum number of requests beyond its slots that a server is sent at the most urgent priority.
-pub(super) const MAX_QUEUE_DEPTH: f64 = 3.0;
+const MAX_QUEUE_DEPTH: f64 = 3.0;
 /// Reduction of [`MAX_QUEUE_DEPTH`] for each step of lower priority.
-pub(super) const PRIORITY_STEP: f64 = 1.0;
+const PRIORITY_STEP: f64 = 1.0;
 /// Minimum number of requests beyond its slots that a server is sent, whatever the priority.
-pub(super) const MIN_QUEUE_DEPTH: f64 = 1.0;
+const MIN_QUEUE_DEPTH: f64 = 1.0;
 /// Time after which keys in transit between two servers are likely to be served again; also the
 /// retry time of callers that are refused because of cold servers.
 const KEY_MOVE_TIME: Duration = Duration::from_millis(250);
@@ -112,7 +111,6 @@
             version: config.version,
             has_tenants: tenants.is_some(),
             tenant,
-            body_bytes: 0,
         })
     }
 
@@ -155,7 +153,7 @@
             .load
             .expected_latency(now, state.entry.slots, baseline, typical);
         let must_queue = state.load.total_in_flight(now, typical) >= f64::from(state.entry.slots);
-        if must_queue && expected > time_left || self.is_hopeless(now, plan, time_left) {
+        if must_queue && expected > time_left {
             return Err(RouteRefusal {
                 cause: RefusalCause::Deadline,
                 retry_after: None,
@@ -177,17 +175,12 @@
         self.quotas.record_send(now, plan);
         let may_be_saturated = state.may_be_saturated(now);
         let entry = state.entry.clone();
-        let bytes = self.record_bytes(chosen, plan);
         let is_remote = self.region_of(&entry.domain) != self.region_of(&self.settings.domain);
         Ok(Target {
             server: chosen,
             entry,
             sent: now,
             probes_connection: may_be_saturated || !is_remote || !plan.route.idempotent,
-            bytes,
-            work: work_key(plan),
-            priority: plan.priority(),
-            target_latency: plan.route.target_latency,
         })
     }
 
@@ -228,7 +221,7 @@
         if let Some(left) = self.pause_left(now, server) {
             return Err(self.pause_refusal(left));
         }
-        let priority = if self.overload_control() {
+        let priority = if self.controls_overload() {
             plan.priority()
         } else {
             0
@@ -296,7 +289,6 @@
             window: COLD_WINDOW,
         };
         let hosts = self.hosts;
-        let queue = self.queue_depth(now, plan);
         let baseline = self.baseline_latency(&plan.service);
         let typical = self.assumed_load(now, &plan.service);
         let Some(state) = self.servers.get_mut(server) else {
@@ -313,7 +305,8 @@
             return Err(RouteRefusal::new(RefusalCause::Cold, KEY_MOVE_TIME));
         }
         let slots = f64::from(state.entry.slots);
-        let depth = (slots + queue).max(1.0);
+        let queue = MAX_QUEUE_DEPTH - PRIORITY_STEP * f64::from(plan.priority());
+        let depth = slots + queue.max(MIN_QUEUE_DEPTH);
         let own_limit = (depth * OWN_SHARE_FACTOR / hosts as f64).max(MIN_OWN_REQUESTS);
         let is_probe_under_way = state.is_probed() && state.load.own_in_flight() > 0;
         let is_own_share_used = plan.keyed && state.load.own_in_flight() as f64 + 1.0 > own_limit;
@@ -326,7 +319,6 @@
                 .expected_latency(now, state.entry.slots, baseline, typical);
             return Err(RouteRefusal::new(RefusalCause::Busy, expected / 2));
         }
-        self.check_bytes(server, plan)?;
         if !self.is_within_rate_limit(now, server, plan) {
             return Err(self.overload_refusal(plan, RefusalCause::Limited));
         }
@@ -383,14 +375,13 @@
     pub(super) fn distance_penalty(&self, plan: &RoutePlan, domain: &str) -> Duration {
         let target_latency = plan.route.target_latency;
         let regions = &self.settings.regions;
-        let penalty = if domain == self.settings.domain {
+        if domain == self.settings.domain {
             Duration::ZERO
         } else if regions.get(domain) == regions.get(&self.settings.domain) {
             DOMAIN_PENALTY.max(target_latency / DOMAIN_PENALTY_DIVISOR)
         } else {
             REGION_PENALTY.max(target_latency / REGION_PENALTY_DIVISOR)
-        };
-        self.scaled_penalty(plan, penalty)
+        }
     }
 
     /// Expected latency, or half the age of the oldest request in flight if that is longer.
--- a/crates/core/src/front/router/spreading.rs
+++ b/crates/core/src/front/router/spreading.rs
@@ -86,9 +86,15 @@
 }
 
 impl Router {
+    /// Whether requests compete for too little capacity, as the platform's settings or the
+    /// configuration in force say.
+    pub fn controls_overload(&self) -> bool {
+        self.settings.overload_control || self.has_uploads
+    }
+
     /// Whether hosts see the servers of services without keys too rarely to compare all of them.
     fn spreads_requests(&self) -> bool {
-        self.overload_control() && self.hosts >= MANY_HOSTS
+        self.controls_overload() && self.hosts >= MANY_HOSTS
     }
 
     /// Requests of other hosts that a server is assumed to have while nothing newer is known.
--- a/crates/core/src/front/router/types.rs
+++ b/crates/core/src/front/router/types.rs
@@ -8,7 +8,6 @@
 use crate::front::quota::QuotaTolerance;
 use crate::front::servers::ServerEntry;
 use crate::front::tenant::{Quota, Tenant, Tenants};
-use crate::front::work_estimates::WorkKey;
 use crate::ids::ServerKey;
 use crate::time::Time;
 
@@ -42,10 +41,6 @@
     pub overload_control: bool,
     /// How the quotas of tenants are compared with their requests.
     pub quota: QuotaTolerance,
-    /// Link rate of the host in bytes per second, if it is known.
-    pub link_rate: Option<f64>,
-    /// Memory of the host in bytes.
-    pub memory: f64,
 }
 
 /// A request for which a route was found.
@@ -63,20 +58,9 @@
     pub has_tenants: bool,
     /// The tenant that sends it, if the configuration has tenants and the request names one.
     pub tenant: Option<Arc<Tenant>>,
-    /// Length of the request's body, once it has been read.
-    pub body_bytes: usize,
 }
 
 impl RoutePlan {
-    /// Names the length of the request's body.
-    #[must_use]
-    pub fn with_body(self, bytes: usize) -> Self {
-        Self {
-            body_bytes: bytes,
-            ..self
-        }
-    }
-
     /// The priority of the request: the tenant's, or the route's if that has none.
     #[must_use]
     pub fn priority(&self) -> u8 {
@@ -133,14 +117,6 @@
     /// certainly not run. For requests that may be repeated this is not worth a round trip to
     /// another region unless the server has done so lately.
     pub probes_connection: bool,
-    /// Length of the body, if it counts as in flight.
-    pub bytes: usize,
-    /// Whose work the response is a measurement of.
-    pub work: WorkKey,
-    /// Priority of the request.
-    pub priority: u8,
-    /// Target latency of its route.
-    pub target_latency: Duration,
 }
 
 /// Reason for refusing a request.
--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -112,8 +112,6 @@
                 overshoot: self.quota_overshoot,
                 slack: self.quota_slack,
             },
-            link_rate: self.link_mbps.map(|mbps| mbps * 1e6 / 8.0),
-            memory: self.memory(),
         }
     }
 
--- a/crates/core/tests/front/fixture.rs
+++ b/crates/core/tests/front/fixture.rs
@@ -107,23 +107,15 @@
 
 /// A router of a host in `east-a`, without configuration or servers.
 pub(crate) fn router_of(name: &str) -> Router {
-    router_with(name, |_| {})
+    router_in(name, "east-a", false)
 }
 
 /// A router of a host in a domain, with or without overload control.
 pub(crate) fn router_in(name: &str, domain: &str, overload_control: bool) -> Router {
-    router_with(name, |settings| {
-        settings.domain = domain.to_owned();
-        settings.overload_control = overload_control;
-    })
-}
-
-/// The same with other settings.
-pub(crate) fn router_with(name: &str, adjust: impl Fn(&mut RouterSettings)) -> Router {
     let regions = [("east-a", "east"), ("east-b", "east"), ("west-a", "west")];
-    let mut settings = RouterSettings {
+    Router::new(RouterSettings {
         name: name.to_owned(),
-        domain: "east-a".to_owned(),
+        domain: domain.to_owned(),
         regions: regions
             .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
             .into(),
@@ -133,15 +125,11 @@
         drain: Duration::from_millis(2_500),
         warm_factor: 1.5,
         warm_slack: 5.0,
-        overload_control: false,
+        overload_control,
         quota: QuotaTolerance {
             window: Duration::from_secs(5),
             overshoot: 0.1,
             slack: 20.0,
         },
-        link_rate: None,
-        memory: 256e6,
-    };
-    adjust(&mut settings);
-    Router::new(settings)
+    })
 }
--- a/crates/core/tests/front/main.rs
+++ b/crates/core/tests/front/main.rs
@@ -1,6 +1,5 @@
 //! Tests of the router and the granter of hosts that send requests directly to servers.
 
-mod admission_queue;
 mod balance;
 mod bounds;
 mod crash_tracker;
@@ -10,7 +9,6 @@
 mod grants;
 mod host_delay;
 mod hot_keys;
-mod large_bodies;
 mod many_hosts;
 mod members;
 mod odd_entries;
@@ -26,6 +24,4 @@
 mod sim;
 mod speeds;
 mod spreading;
-mod two_priorities;
 mod voters;
-mod work_estimates;
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -313,8 +313,10 @@
         502 | 504 => counters.doubtful.add(),
         _ => counters.answered.add(),
     }
-    if let Some(cause) = response.refusal() {
-        counters.record_refusal(cause);
+    match response.refusal() {
+        Some(RefusalCause::Paused) => counters.paused.add(),
+        Some(RefusalCause::Quota) => counters.over_quota.add(),
+        _ => {}
     }
     if response.status >= 400 {
         let detail = format!(
--- a/crates/front/src/callers/start.rs
+++ b/crates/front/src/callers/start.rs
@@ -84,7 +84,6 @@
         },
     };
     let time_to_answer = host.time_to_answer();
-    let plan = plan.with_body(body.len());
     Ok(Arc::new(Request {
         id: received.id(),
         head: received.head,
--- a/crates/front/src/command.rs
+++ b/crates/front/src/command.rs
@@ -15,7 +15,7 @@
 
 use crate::clock;
 use crate::entry_host::EntryHost;
-use crate::{admission, callers, leadership, logs, monitoring, peers, reach, registration, watch};
+use crate::{callers, leadership, logs, monitoring, peers, reach, registration, watch};
 
 /// Interval of the checks for a signal.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
@@ -118,7 +118,6 @@
     task::spawn(leadership::run(host.clone()));
     task::spawn(registration::keep_registered(host.clone()));
     task::spawn(reach::watch(host.clone()));
-    task::spawn(admission::run(host.clone()));
     let accept_task = task::spawn(callers::accept(host.clone(), caller_listener));
     host.set_accept_task(accept_task);
     host.log(
--- a/crates/front/src/counters.rs
+++ b/crates/front/src/counters.rs
@@ -3,8 +3,6 @@
 use std::fmt::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use amaranthshunt_core::front::RefusalCause;
-
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident = $text:literal;)*) => {
         /// Counts since the start of the process.
@@ -40,20 +38,6 @@
     limited = "requests_limited_total";
     /// Requests refused because servers have asked for a pause.
     paused = "requests_paused_total";
-    /// Requests refused since the servers were at capacity.
-    refused_busy = "requests_refused_busy_total";
-    /// Requests refused since the servers were cold.
-    refused_cold = "requests_refused_cold_total";
-    /// Requests refused since their deadline would have passed.
-    refused_deadline = "requests_refused_deadline_total";
-    /// Requests refused since no server was eligible or had the key.
-    refused_no_server = "requests_refused_no_server_total";
-    /// Requests refused since they had been sent too often, or the retry budget was used up.
-    refused_repeats = "requests_refused_repeats_total";
-    /// Requests refused since the host itself was late, out of memory or shutting down.
-    refused_host = "requests_refused_host_total";
-    /// Requests that have waited in the host's queue.
-    queued = "requests_queued_total";
     /// Requests refused because they have crashed servers.
     quarantined = "requests_quarantined_total";
     /// Requests passed on to other hosts, since this one reached no server.
@@ -94,32 +78,6 @@
     store_calls = "store_calls_total";
 }
 
-impl Counters {
-    /// Counts a refusal by its reason.
-    pub(crate) fn record_refusal(&self, cause: RefusalCause) {
-        let counter = match cause {
-            RefusalCause::Busy => &self.refused_busy,
-            RefusalCause::Cold => &self.refused_cold,
-            RefusalCause::Deadline => &self.refused_deadline,
-            RefusalCause::NoServer | RefusalCause::NoOwner | RefusalCause::NoReach => {
-                &self.refused_no_server
-            }
-            RefusalCause::Repeats => &self.refused_repeats,
-            RefusalCause::HostOverloaded | RefusalCause::Leaving => &self.refused_host,
-            RefusalCause::Limited => &self.limited,
-            RefusalCause::Paused => &self.paused,
-            RefusalCause::Quota => &self.over_quota,
-            RefusalCause::Quarantined
-            | RefusalCause::Suspect
-            | RefusalCause::NoConfig
-            | RefusalCause::NoRoute
-            | RefusalCause::UnknownKey
-            | RefusalCause::CallerLeft => return,
-        };
-        counter.add();
-    }
-}
-
 /// A counter that only increases.
 #[derive(Debug, Default)]
 pub struct Counter(AtomicU64);
--- a/crates/front/src/entry_host.rs
+++ b/crates/front/src/entry_host.rs
@@ -14,7 +14,6 @@
 use async_std::net::TcpStream;
 use async_std::task::JoinHandle;
 
-use crate::admission::AdmissionControl;
 use crate::allowances::Allowances;
 use crate::clock;
 use crate::counters::Counters;
@@ -51,8 +50,6 @@
     pub(crate) suspects: Suspects,
     /// What this host asks the leader for beyond its share of servers' limits.
     pub(crate) allowances: Allowances,
-    /// Requests that wait for a server.
-    pub(crate) admission: AdmissionControl,
     /// Memory of the messages in hand.
     pub(crate) buffers: BufferBudget,
     /// Connections of callers.
@@ -91,7 +88,6 @@
             helpers: Helpers::default(),
             suspects: Suspects::default(),
             allowances: Allowances::default(),
-            admission: AdmissionControl::new(&settings),
             buffers: BufferBudget::new(settings.buffer_memory()),
             slots: CallerSlots::new(settings.max_connections()),
             router: Mutex::new(Router::new(settings.router())),
@@ -221,8 +217,6 @@
             paused_servers: self.with_router(|router, now| router.paused_count(now)) as u64,
             quota_use: self.with_router(|router, now| router.quota_use(now)),
             leaving_servers: self.with_router(|router, _| router.leaving_count()) as u64,
-            queues: self.admission.depths(),
-            body_bytes: self.with_router(|router, _| router.bytes_in_flight()) as u64,
         };
         self.counters.to_text() + &gauges.to_text()
     }
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranthshunt_core::front::QueueDepth;
-
 /// What a host knows at the moment.
 #[derive(Clone, Debug, Default)]
 pub struct Gauges {
@@ -25,10 +23,6 @@
     pub(crate) paused_servers: u64,
     /// The tenants of which this host has sent most of the quota, and the thousandths of it.
     pub(crate) quota_use: Vec<(Arc<str>, u64)>,
-    /// The queue by priority: 0, 1 and all others.
-    pub(crate) queues: [QueueDepth; 3],
-    /// Bytes of large bodies in flight to servers.
-    pub(crate) body_bytes: u64,
 }
 
 /// The gauge with a value for each tenant.
@@ -36,7 +30,7 @@
 
 impl Gauges {
     /// The name of every gauge.
-    pub const NAMES: [&'static str; 15] = [
+    pub const NAMES: [&'static str; 8] = [
         "amaranthshunt_config_version",
         "amaranthshunt_config_age_milliseconds",
         "amaranthshunt_store_era",
@@ -44,20 +38,11 @@
         "amaranthshunt_limited_servers",
         "amaranthshunt_leaving_servers",
         "amaranthshunt_paused_servers",
-        "amaranthshunt_queue_requests_priority_0",
-        "amaranthshunt_queue_requests_priority_1",
-        "amaranthshunt_queue_requests_priority_2",
-        "amaranthshunt_queue_age_milliseconds_priority_0",
-        "amaranthshunt_queue_age_milliseconds_priority_1",
-        "amaranthshunt_queue_age_milliseconds_priority_2",
-        "amaranthshunt_large_body_bytes",
         QUOTA_USE,
     ];
 
     /// Every gauge in the Prometheus text format.
     pub(crate) fn to_text(&self) -> String {
-        let requests = self.queues.map(|queue| queue.requests as u128);
-        let ages = self.queues.map(|queue| queue.age.as_millis());
         let values = [
             u128::from(self.config_version),
             self.config_age.as_millis(),
@@ -66,13 +51,6 @@
             u128::from(self.limited_servers),
             u128::from(self.leaving_servers),
             u128::from(self.paused_servers),
-            requests[0],
-            requests[1],
-            requests[2],
-            ages[0],
-            ages[1],
-            ages[2],
-            u128::from(self.body_bytes),
         ];
         let lines = Self::NAMES
             .iter()
--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -251,7 +251,7 @@
             evacuated: router.evacuated(),
         };
         let mut granter = lock(&leader.granter);
-        granter.set_overload_control(router.overload_control());
+        granter.set_overload_control(router.controls_overload());
         let orders = granter.advance(now, cluster);
         host.counters.keys_moved.add_many(granter.take_moved_keys());
         orders
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,10 +5,8 @@
 //! keys, `orders` sends its grants to servers, and `peers` connects it to the other hosts. `watch`
 //! keeps the router's view of the store up to date through `store`. `reach` notices that this host
 //! reaches no server; `proxy` then passes requests on to one of the `helpers`.
-//! `suspects` refuses requests that crash servers. With overload control, requests wait for a server in
-//! the queue of `admission`.
+//! `suspects` refuses requests that crash servers.
 
-mod admission;
 mod allowances;
 mod callers;
 mod clock;
--- a/crates/front/src/proxy.rs
+++ b/crates/front/src/proxy.rs
@@ -1,7 +1,6 @@
 //! Proxies one request to a server, with retries.
 
 mod attempt;
-mod queueing;
 mod relay;
 mod send;
 
@@ -21,7 +20,6 @@
 use crate::response::Response;
 use crate::suspects::{self, SendPermit};
 use attempt::{Attempt, NextStep};
-use queueing::select_target;
 use relay::relay;
 pub(crate) use relay::{LOST, REFUSAL, SENDS, SERVER, SERVER_START};
 use send::send;
@@ -146,7 +144,20 @@
                 retry_after: None,
             });
         }
-        let target = match select_target(&host, &request, &mut attempts).await {
+        let chosen = host.with_router(|router, now| {
+            if !std::mem::replace(&mut attempts.is_counted, true) {
+                router.record_tenant_demand(&request.plan);
+            }
+            router.select_server(
+                now,
+                &request.plan,
+                request.shard_key(),
+                &attempts.avoided,
+                attempts.sends,
+                remaining,
+            )
+        });
+        let target = match chosen {
             Ok(target) => target,
             Err(refusal) if refusal.cause == RefusalCause::Quota => {
                 attempts.quota_waits += 1;
@@ -161,11 +172,10 @@
             }
             Err(refusal) if attempts.may_ask(&refusal) => {
                 attempts.has_asked = true;
-                let is_granted = ask_allowance(&host, &request.plan, request.shard_key()).await;
-                // With overload control, the request may wait until the limit allows it.
-                if is_granted || host.with_router(|router, _| router.overload_control()) {
+                if ask_allowance(&host, &request.plan, request.shard_key()).await {
                     continue;
                 }
+                host.counters.limited.add();
                 return attempts.final_response(refusal);
             }
             Err(refusal) => return attempts.final_response(refusal),
@@ -245,8 +255,6 @@
     is_counted: bool,
     /// How often the request has waited for more of its tenant's quota.
     quota_waits: u32,
-    /// Whether it has waited in the host's queue.
-    has_waited: bool,
     refusal: Option<RouteRefusal>,
     /// Status and log detail of an attempt after which the request may have run.
     maybe_ran: Option<(u16, String)>,
--- a/crates/front/src/proxy/attempt.rs
+++ b/crates/front/src/proxy/attempt.rs
@@ -44,9 +44,6 @@
         self.ended = true;
         self.host
             .with_router(|router, now| router.record_outcome(now, self.target, outcome, report));
-        let plan = &self.request.plan;
-        let server = plan.keyed.then_some(self.target.server);
-        self.host.admission.record_end(&plan.service, server);
     }
 
     /// Ends the attempt of a request that no server has executed, so that it does not count towards its
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -16,7 +16,6 @@
 mod tenants;
 mod two_leaders;
 mod untrusted;
-mod waiting_requests;
 
 use std::path::Path;
 use std::time::{Duration, Instant};
