Split the messages between hosts and the connection

Change: service times move to messages/service_time.rs, chunked bodies to http/connection/chunks.rs.

--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -1,5 +1,7 @@
 //! A TCP connection with a read buffer.
 
+mod chunks;
+
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
@@ -32,10 +34,6 @@
 /// Interval at which a connection whose read-ahead is used up is checked for a disconnect. Servers must end
 /// their work on an idempotent request within 500 ms of its caller's disconnect.
 const HANG_UP_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest chunk size line and longest trailer line, in bytes.
-const LINE_LIMIT: usize = 4 << 10;
-/// Longest trailer section, in bytes.
-const TRAILERS_LIMIT: usize = 64 << 10;
 /// Maximum number of interim (1xx) responses before the final one.
 const INTERIM_RESPONSE_LIMIT: usize = 8;
 /// Longest head of a response, in bytes.
@@ -385,74 +383,6 @@
         }
     }
 
-    async fn read_chunks(
-        &mut self,
-        body: &mut BodyBuffer,
-        limit: usize,
-        account: &mut BufferAccount,
-    ) -> Result<()> {
-        loop {
-            let size = self.read_chunk_size().await?;
-            let end = body.len().checked_add(size);
-            let Some(end) = end.filter(|end| *end <= limit) else {
-                return Err(HttpError::BodyTooLong);
-            };
-            if size == 0 {
-                return self.skip_trailers().await;
-            }
-            while body.len() < end {
-                if self.buffer.is_empty() {
-                    self.fill_body().await?;
-                }
-                self.move_to_body(body, end - body.len(), 0);
-                occupy(account, body.occupied())?;
-            }
-            while self.buffer.len() < 2 {
-                self.fill_body().await?;
-            }
-            if &self.buffer[..2] != b"\r\n" {
-                return Err(HttpError::Malformed("chunk end"));
-            }
-            self.buffer.advance(2);
-        }
-    }
-
-    async fn read_chunk_size(&mut self) -> Result<usize> {
-        loop {
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete((length, size))) => {
-                    self.buffer.advance(length);
-                    return usize::try_from(size).map_err(|_| HttpError::BodyTooLong);
-                }
-                Ok(httparse::Status::Partial) if self.buffer.len() <= LINE_LIMIT => {
-                    self.fill_body().await?;
-                }
-                _ => return Err(HttpError::Malformed("chunk size")),
-            }
-        }
-    }
-
-    async fn skip_trailers(&mut self) -> Result<()> {
-        let mut skipped = 0;
-        loop {
-            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
-                self.buffer.advance(end + 2);
-                skipped += end + 2;
-                if end == 0 {
-                    return Ok(());
-                }
-                if skipped > TRAILERS_LIMIT {
-                    return Err(HttpError::Malformed("trailers are too long"));
-                }
-                continue;
-            }
-            if self.buffer.len() > LINE_LIMIT {
-                return Err(HttpError::Malformed("trailer"));
-            }
-            self.fill_body().await?;
-        }
-    }
-
     /// Writes a head and a body.
     ///
     /// # Errors
--- a/crates/front/src/messages.rs
+++ b/crates/front/src/messages.rs
@@ -5,18 +5,20 @@
 
 mod crashes;
 mod quotas;
+mod service_time;
 mod table;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranthshunt_core::front::{
-    Departure, Overload, RateLimit, RateLimitReport, ServerEntry, ServiceTime, StoreRevision,
+    Departure, Overload, RateLimit, RateLimitReport, ServerEntry, StoreRevision,
 };
 use prost::{Message, Oneof};
 
 pub(crate) use crashes::CrashesMessage;
 pub(crate) use quotas::{TenantNeed, TenantShareMessage, TenantUsageMessage};
+pub(crate) use service_time::ServiceTimeMessage;
 pub(crate) use table::TableMessage;
 
 /// The frame of every message.
@@ -396,38 +398,6 @@
     pub(crate) tenants: Vec<TenantUsageMessage>,
 }
 
-/// Mean service time of a server since the sender's last report.
-#[derive(Clone, Message, PartialEq)]
-pub(crate) struct ServiceTimeMessage {
-    #[prost(string, tag = "1")]
-    pub(crate) server: String,
-    #[prost(uint64, tag = "2")]
-    pub(crate) micros: u64,
-    /// Number of answers that the mean stands for.
-    #[prost(uint32, tag = "3")]
-    pub(crate) answers: u32,
-}
-
-impl From<ServiceTime> for ServiceTimeMessage {
-    fn from(time: ServiceTime) -> Self {
-        Self {
-            server: time.server.to_string(),
-            micros: time.mean.as_micros() as u64,
-            answers: time.answers,
-        }
-    }
-}
-
-impl From<&ServiceTimeMessage> for ServiceTime {
-    fn from(message: &ServiceTimeMessage) -> Self {
-        Self {
-            server: Arc::from(message.server.as_str()),
-            mean: Duration::from_micros(message.micros),
-            answers: message.answers,
-        }
-    }
-}
-
 /// A server that has told in a response that it leaves.
 #[derive(Clone, Message, PartialEq)]
 pub(crate) struct DepartureMessage {
