Say what overload control does

Cause: the comment on the setting still described the admission queue, which was taken back. Change: it names the placement by speed and the spreading, which are what the setting turns on.

--- a/crates/core/src/front/settings.rs
+++ b/crates/core/src/front/settings.rs
@@ -82,8 +82,8 @@
     pub warm_factor: f64,
     /// Requests per second by which the request rate of a cold server may be exceeded in addition.
     pub warm_slack: f64,
-    /// Whether requests compete for too little capacity, so that the deployment asks for admission by
-    /// priority, deadline and expected work.
+    /// Whether requests compete for too little capacity, so that keys are placed by the measured speed of
+    /// servers, and hosts spread requests without keys.
     pub overload_control: bool,
     /// Window in which the requests of a tenant are compared with its quota.
     pub quota_window: Duration,
