--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -13,7 +13,10 @@
 
 impl Head {
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -22,11 +25,15 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.first.get(1).and_then(|text| text.parse().ok()).unwrap_or_default()
+        self.first
+            .get(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or_default()
     }
 
     pub fn closes(&self) -> bool {
-        self.get("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"))
+        self.get("connection")
+            .is_some_and(|text| text.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -39,7 +46,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
@@ -59,7 +69,11 @@
     /// Reads a head; `None` if the connection ends before its first byte.
     pub fn read_head(&mut self) -> io::Result<Option<Head>> {
         loop {
-            if let Some(end) = self.buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            if let Some(end) = self
+                .buffer
+                .windows(4)
+                .position(|bytes| bytes == b"\r\n\r\n")
+            {
                 let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
                 self.buffer.drain(..end + 4);
                 let mut lines = text.split("\r\n");
@@ -69,7 +83,10 @@
                     let (name, value) = line.split_once(':')?;
                     Some((name.to_owned(), value.trim().to_owned()))
                 });
-                return Ok(Some(Head { first, headers: headers.collect() }));
+                return Ok(Some(Head {
+                    first,
+                    headers: headers.collect(),
+                }));
             }
             if self.fill()? == 0 {
                 return if self.buffer.is_empty() {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 
 mod http;
 mod orders;
+mod poison;
 mod record;
 mod site;
 mod store;
@@ -23,6 +24,7 @@
     let folder = Path::new(folder);
     let result = match name.as_str() {
         "orders" => orders::run(&record, folder, trouble),
+        "poison" => poison::run(&record, folder, trouble),
         "uploads" => uploads::run(&record, folder, trouble),
         _ => Err(format!("there is no case {name}")),
     };
--- a/review/standins-2/src/orders.rs
+++ b/review/standins-2/src/orders.rs
@@ -43,7 +43,8 @@
 /// Starts the deployment, evacuates a zone while upstreams repeat answers, and ends it; returns the
 /// number of requests that were served.
 fn play(record: &Record, folder: &std::path::Path, trouble: bool) -> Result<u64, String> {
-    let store = Store::start(std::net::TcpListener::bind((ip(1), 0)).map_err(|error| error.to_string())?);
+    let store =
+        Store::start(std::net::TcpListener::bind((ip(1), 0)).map_err(|error| error.to_string())?);
     configure(
         &store,
         1,
@@ -63,11 +64,15 @@
         Upstream::start(&options, &group, &store, record)
     };
     let upstreams: Vec<Upstream> = (0..UPSTREAMS).map(start).collect();
-    let mut hosts: Vec<Host> = (0..HOSTS).map(|index| Host::new(folder, index, store.address, 260)).collect();
+    let mut hosts: Vec<Host> = (0..HOSTS)
+        .map(|index| Host::new(folder, index, store.address, 260))
+        .collect();
     for host in &mut hosts {
         host.start(record);
     }
-    wait_until(Duration::from_secs(20), "all hosts are ready", || hosts.iter().all(Host::is_ready))?;
+    wait_until(Duration::from_secs(20), "all hosts are ready", || {
+        hosts.iter().all(Host::is_ready)
+    })?;
     let stop = Arc::new(AtomicBool::new(false));
     let served = Arc::new(AtomicU64::new(0));
     let callers: Vec<_> = (0..CALLERS)
@@ -77,7 +82,9 @@
             thread::spawn(move || call(caller, address, &stop, &served, &record))
         })
         .collect();
-    let result = wait_until(Duration::from_secs(20), "keys are served", || served.load(Ordering::Relaxed) > 100);
+    let result = wait_until(Duration::from_secs(20), "keys are served", || {
+        served.load(Ordering::Relaxed) > 100
+    });
     if result.is_ok() {
         thread::sleep(QUIET);
         // Half of the upstreams repeat answers for five seconds: both of zone-b, and one of zone-a.
@@ -88,7 +95,12 @@
         }
         thread::sleep(EVACUATE_AT);
         record.add(format!("{} is evacuated", ZONES[1]));
-        store.put("evacuations", ZONES[1], serde_json::json!({}), serde_json::Value::Null);
+        store.put(
+            "evacuations",
+            ZONES[1],
+            serde_json::json!({}),
+            serde_json::Value::Null,
+        );
         thread::sleep(WINDOW - EVACUATE_AT);
         for upstream in &faulty {
             upstream.set_repeats(false);
@@ -109,7 +121,13 @@
     result.map(|()| served.load(Ordering::Relaxed))
 }
 
-fn call(caller: u64, address: std::net::SocketAddr, stop: &AtomicBool, served: &AtomicU64, record: &Record) {
+fn call(
+    caller: u64,
+    address: std::net::SocketAddr,
+    stop: &AtomicBool,
+    served: &AtomicU64,
+    record: &Record,
+) {
     let mut connection = None;
     let mut number = 0_u64;
     while !stop.load(Ordering::Relaxed) {
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -37,17 +37,17 @@
         self.broken.lock().unwrap().push(line);
     }
 
-    pub fn broken_count(&self) -> usize {
-        self.broken.lock().unwrap().len()
-    }
-
     /// Writes the record; returns the exit status of the script.
     pub fn finish(&self, path: &str, could_run: Result<(), String>) -> i32 {
         let broken = self.broken.lock().unwrap().clone();
         let verdict = match &could_run {
             Err(reason) => format!("the case could not run: {reason}"),
             Ok(()) if broken.is_empty() => "the rule held".to_owned(),
-            Ok(()) => format!("the rule was broken {} times; the first:\n{}", broken.len(), broken[0]),
+            Ok(()) => format!(
+                "the rule was broken {} times; the first:\n{}",
+                broken.len(),
+                broken[0]
+            ),
         };
         let mut text = format!("{verdict}\n\n");
         for line in self.lines.lock().unwrap().iter() {
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -31,6 +31,9 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
+    /// The text of the settings file, for the first start.
+    text: String,
+    has_started: bool,
     child: Option<Child>,
 }
 
@@ -42,7 +45,10 @@
         let zone = ZONES[index % ZONES.len()];
         let name = format!("front-{zone}-{}", index / ZONES.len() + 1);
         let port = internal.port();
-        let zones: String = ZONES.iter().map(|zone| format!("{zone} = \"region-1\"\n")).collect();
+        let zones: String = ZONES
+            .iter()
+            .map(|zone| format!("{zone} = \"region-1\"\n"))
+            .collect();
         let text = format!(
             r#"Node = "{name}"
 Role = "front"
@@ -88,14 +94,28 @@
 "#
         );
         let settings = folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, text).expect("the settings file");
-        Self { name, front, ready, settings, child: None }
+        Self {
+            name,
+            front,
+            ready,
+            settings,
+            text,
+            has_started: false,
+            child: None,
+        }
     }
 
     /// Starts the process with the command of the deploy file; its log lines of level `WARN` and the
     /// changes of the leader go into the record.
     pub fn start(&mut self, record: &Record) {
-        let program = std::env::var("AMARANTHSHUNT").unwrap_or("target/release/amaranthshunt".into());
+        let text = if std::mem::replace(&mut self.has_started, true) {
+            self.text.replace("FirstStart = true", "FirstStart = false")
+        } else {
+            self.text.clone()
+        };
+        std::fs::write(&self.settings, text).expect("the settings file");
+        let program =
+            std::env::var("AMARANTHSHUNT").unwrap_or("target/release/amaranthshunt".into());
         let mut child = Command::new(program)
             .arg("front")
             .env_clear()
@@ -119,22 +139,12 @@
         self.child = Some(child);
     }
 
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
         Some(status.to_string())
     }
 
-    pub fn signal(&self, signal: rustix::process::Signal) {
-        if let Some(pid) = self.pid().and_then(|pid| rustix::process::Pid::from_raw(pid as i32)) {
-            let _ = rustix::process::kill_process(pid, signal);
-        }
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -144,24 +154,12 @@
         }
     }
 
-    /// Waits until the process has ended, and kills it after `limit`.
-    pub fn wait(&mut self, limit: Duration) {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            if self.has_ended().is_some() {
-                let _ = std::fs::remove_file(self.settings.with_extension("pid"));
-                self.child = None;
-                return;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        self.kill();
-    }
-
     pub fn is_ready(&self) -> bool {
         let ask = || {
             let mut connection = Connection::open(self.ready, Duration::from_secs(1)).ok()?;
-            connection.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").ok()?;
+            connection
+                .write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .ok()?;
             Some(connection.read_head().ok()??.status() == 200)
         };
         ask().unwrap_or(false)
@@ -198,7 +196,11 @@
 }
 
 /// Waits until a condition is met.
-pub fn wait_until(limit: Duration, what: &str, mut is_met: impl FnMut() -> bool) -> Result<(), String> {
+pub fn wait_until(
+    limit: Duration,
+    what: &str,
+    mut is_met: impl FnMut() -> bool,
+) -> Result<(), String> {
     let end = Instant::now() + limit;
     while !is_met() {
         if Instant::now() > end {
@@ -219,13 +221,22 @@
 pub fn ask(connection: &mut Connection, head: &str, body: &[u8]) -> std::io::Result<Answer> {
     connection.write(head.as_bytes())?;
     connection.write(body)?;
-    let head = connection.read_head()?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
+    let head = connection
+        .read_head()?
+        .ok_or(std::io::ErrorKind::UnexpectedEof)?;
     let body = connection.read_body(head.length().unwrap_or(0))?;
     Ok(Answer { head, body })
 }
 
 /// The head of a caller's request.
-pub fn request_head(method: &str, path: &str, id: &str, deadline_ms: u32, key: Option<u16>, length: usize) -> String {
+pub fn request_head(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u32,
+    key: Option<u16>,
+    length: usize,
+) -> String {
     let mut head = format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nRequest-Deadline-Ms: {deadline_ms}\r\n"
     );
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -19,8 +19,6 @@
     objects: BTreeMap<(String, String), Value>,
     /// Revision, kind, object, whether it was deleted.
     history: Vec<(u64, String, Value, bool)>,
-    /// Whether calls are answered with 503.
-    down: bool,
 }
 
 impl State {
@@ -39,14 +37,16 @@
             "Spec": spec, "Status": status,
         });
         self.objects.insert(key, object.clone());
-        self.history.push((self.revision, kind.to_owned(), object.clone(), false));
+        self.history
+            .push((self.revision, kind.to_owned(), object.clone(), false));
         object
     }
 
     fn remove(&mut self, kind: &str, name: &str) {
         if let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) {
             self.revision += 1;
-            self.history.push((self.revision, kind.to_owned(), object, true));
+            self.history
+                .push((self.revision, kind.to_owned(), object, true));
         }
     }
 }
@@ -60,7 +60,10 @@
 
 impl Store {
     pub fn start(listener: TcpListener) -> Self {
-        let state = State { revision: 100, ..State::default() };
+        let state = State {
+            revision: 100,
+            ..State::default()
+        };
         let store = Self {
             shared: Arc::new((Mutex::new(state), Condvar::new())),
             address: listener.local_addr().unwrap(),
@@ -76,7 +79,11 @@
     }
 
     pub fn put(&self, kind: &str, name: &str, spec: Value, status: Value) {
-        self.shared.0.lock().unwrap().put(kind, name, Some(spec), Some(status));
+        self.shared
+            .0
+            .lock()
+            .unwrap()
+            .put(kind, name, Some(spec), Some(status));
         self.shared.1.notify_all();
     }
 
@@ -90,19 +97,17 @@
         self.shared.0.lock().unwrap().objects.get(&key).cloned()
     }
 
-    /// Sets whether all calls are answered with 503.
-    pub fn set_down(&self, down: bool) {
-        self.shared.0.lock().unwrap().down = down;
-        self.shared.1.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let mut connection = Connection::new(stream);
         loop {
             let head = connection.read_head().ok()??;
             let body = connection.read_body(head.length().unwrap_or(0)).ok()?;
             let (status, body) = self.answer(&head, &body);
-            let text = if body.is_null() { String::new() } else { body.to_string() };
+            let text = if body.is_null() {
+                String::new()
+            } else {
+                body.to_string()
+            };
             let bytes = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
@@ -114,19 +119,26 @@
     fn answer(&self, head: &Head, body: &[u8]) -> (u16, Value) {
         let target = head.first.get(1).cloned().unwrap_or_default();
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-        let query: BTreeMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let parts: Vec<&str> = path.trim_start_matches("/objects/").split('/').collect();
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
-        if self.shared.0.lock().unwrap().down {
-            return (503, Value::Null);
-        }
         match (head.first[0].as_str(), parts.as_slice()) {
             ("GET", [kind]) => match query.get("Watch") {
                 Some(from) => self.watch(kind, from.parse().unwrap_or(0), &query),
                 None => self.list(kind, query.get("after").copied()),
             },
-            ("GET", [kind, name]) => self.get(kind, name).map_or((404, Value::Null), |object| (200, object)),
-            ("POST", [kind]) => self.write(kind, body["Metadata"]["Name"].as_str().unwrap_or_default(), &body, "POST"),
+            ("GET", [kind, name]) => self
+                .get(kind, name)
+                .map_or((404, Value::Null), |object| (200, object)),
+            ("POST", [kind]) => self.write(
+                kind,
+                body["Metadata"]["Name"].as_str().unwrap_or_default(),
+                &body,
+                "POST",
+            ),
             ("PUT", [kind, name]) => self.write(kind, name, &body, "PUT"),
             ("PUT", [kind, name, "status"]) => self.write(kind, name, &body, "STATUS"),
             _ => (400, Value::Null),
@@ -141,24 +153,33 @@
         let mut items: Vec<&Value> = objects.map(|(_, object)| object).collect();
         let more = items.len() > PAGE;
         items.truncate(PAGE);
-        (200, json!({ "items": items, "More": more, "CurrentRev": state.revision }))
+        (
+            200,
+            json!({ "items": items, "More": more, "CurrentRev": state.revision }),
+        )
     }
 
     fn watch(&self, kind: &str, from: u64, query: &BTreeMap<&str, &str>) -> (u16, Value) {
-        let wait = query.get("WaitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let wait = query
+            .get("WaitMs")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
         let mut state = self.shared.0.lock().unwrap();
         loop {
-            if state.down {
-                return (503, Value::Null);
-            }
-            let events = state.history.iter().filter(|(revision, stored, ..)| *revision > from && stored == kind);
+            let events = state
+                .history
+                .iter()
+                .filter(|(revision, stored, ..)| *revision > from && stored == kind);
             let events: Vec<Value> = events
                 .map(|(_, _, object, deleted)| json!({ "Object": object, "Deleted": deleted }))
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return (200, json!({ "events": events, "CurrentRev": state.revision }));
+                return (
+                    200,
+                    json!({ "events": events, "CurrentRev": state.revision }),
+                );
             }
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
         }
@@ -166,16 +187,27 @@
 
     fn write(&self, kind: &str, name: &str, body: &Value, call: &str) -> (u16, Value) {
         let mut state = self.shared.0.lock().unwrap();
-        let stored = state.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let stored = state
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned();
         let expected = body["Metadata"]["Revision"].as_u64();
         let answer = match (call, stored) {
             ("POST", Some(object)) => return (409, object),
-            ("POST", None) => (201, state.put(kind, name, Some(body["Spec"].clone()), Some(Value::Null))),
+            ("POST", None) => (
+                201,
+                state.put(kind, name, Some(body["Spec"].clone()), Some(Value::Null)),
+            ),
             (_, None) => return (404, Value::Null),
-            (_, Some(object)) if expected.is_some_and(|it| object["Metadata"]["Revision"] != json!(it)) => {
+            (_, Some(object))
+                if expected.is_some_and(|it| object["Metadata"]["Revision"] != json!(it)) =>
+            {
                 return (409, object);
             }
-            ("STATUS", _) => (200, state.put(kind, name, None, Some(body["Status"].clone()))),
+            ("STATUS", _) => (
+                200,
+                state.put(kind, name, None, Some(body["Status"].clone())),
+            ),
             _ => (200, state.put(kind, name, Some(body["Spec"].clone()), None)),
         };
         drop(state);
--- a/review/standins-2/src/uploads.rs
+++ b/review/standins-2/src/uploads.rs
@@ -54,12 +54,20 @@
                 thread::spawn(move || docs.serve(stream, &record));
             }
         });
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis() as u64;
         let spec = json!({
             "Address": docs.address.to_string(), "born": born,
             "Info": { "Service": "docs", "Version": "v1", "Zone": ZONES[number % ZONES.len()], "Slots": 8 },
         });
-        store.put("servers", &docs.id, spec, json!({ "State": "ready", "Sequence": 1, "WarmupLeftMs": 0 }));
+        store.put(
+            "servers",
+            &docs.id,
+            spec,
+            json!({ "State": "ready", "Sequence": 1, "WarmupLeftMs": 0 }),
+        );
         docs
     }
 
@@ -67,7 +75,8 @@
     fn takes_break(&self) -> bool {
         let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
         let broken = self.broken.load(Ordering::SeqCst);
-        let may = self.breaks.load(Ordering::SeqCst) && (broken + 1) as f64 <= BREAK_SHARE * answers as f64;
+        let may = self.breaks.load(Ordering::SeqCst)
+            && (broken + 1) as f64 <= BREAK_SHARE * answers as f64;
         if may {
             self.broken.fetch_add(1, Ordering::SeqCst);
         }
@@ -79,8 +88,13 @@
         let mut connection = Connection::new(stream);
         let head = connection.read_head().ok()??;
         let id = head.get("request-id").unwrap_or_default().to_owned();
-        if head.get("target-instance").is_some_and(|target| target != self.id) {
-            let text = format!("HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+        if head
+            .get("target-instance")
+            .is_some_and(|target| target != self.id)
+        {
+            let text = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
             return connection.write(text.as_bytes()).ok();
         }
         record.add(format!("{} runs {id}", self.id));
@@ -98,16 +112,26 @@
         bytes.extend(answer_to(&id));
         connection.stream.write_all(&bytes).ok()?;
         connection.stream.shutdown(Shutdown::Write).ok()?;
-        record.add(format!("{} has answered {id} with {ANSWER_BYTES} bytes", self.id));
+        record.add(format!(
+            "{} has answered {id} with {ANSWER_BYTES} bytes",
+            self.id
+        ));
         let mut piece = vec![0; 64 << 10];
-        let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(5)));
+        let _ = connection
+            .stream
+            .set_read_timeout(Some(Duration::from_secs(5)));
         while let Ok(1..) = connection.stream.read(&mut piece) {}
         Some(())
     }
 }
 
 fn answer_to(id: &str) -> Vec<u8> {
-    format!("{id};").into_bytes().into_iter().cycle().take(ANSWER_BYTES).collect()
+    format!("{id};")
+        .into_bytes()
+        .into_iter()
+        .cycle()
+        .take(ANSWER_BYTES)
+        .collect()
 }
 
 pub fn run(record: &Record, folder: &std::path::Path, trouble: bool) -> Result<(), String> {
@@ -118,12 +142,19 @@
         json!({ "upload": route("/docs/", "upload", "docs", 4_000) }),
         json!({ "docs": service(false) }),
     );
-    let upstreams = [Docs::start(0, &store, record), Docs::start(1, &store, record)];
-    let mut hosts: Vec<Host> = (0..HOSTS).map(|index| Host::new(folder, index, store.address, 260)).collect();
+    let upstreams = [
+        Docs::start(0, &store, record),
+        Docs::start(1, &store, record),
+    ];
+    let mut hosts: Vec<Host> = (0..HOSTS)
+        .map(|index| Host::new(folder, index, store.address, 260))
+        .collect();
     for host in &mut hosts {
         host.start(record);
     }
-    wait_until(Duration::from_secs(20), "all hosts are ready", || hosts.iter().all(Host::is_ready))?;
+    wait_until(Duration::from_secs(20), "all hosts are ready", || {
+        hosts.iter().all(Host::is_ready)
+    })?;
     let stop = Arc::new(AtomicBool::new(false));
     let whole = Arc::new(AtomicU64::new(0));
     let callers: Vec<_> = (0..CALLERS)
@@ -141,8 +172,14 @@
         faulty.breaks.store(trouble, Ordering::SeqCst);
         thread::sleep(WINDOW);
         faulty.breaks.store(false, Ordering::SeqCst);
-        let (answers, broken) = (faulty.answers.load(Ordering::SeqCst), faulty.broken.load(Ordering::SeqCst));
-        record.add(format!("{} has broken off {broken} of {answers} answers", faulty.id));
+        let (answers, broken) = (
+            faulty.answers.load(Ordering::SeqCst),
+            faulty.broken.load(Ordering::SeqCst),
+        );
+        record.add(format!(
+            "{} has broken off {broken} of {answers} answers",
+            faulty.id
+        ));
         thread::sleep(PAUSE);
     }
     stop.store(true, Ordering::Relaxed);
@@ -156,7 +193,11 @@
             return Err(format!("{} has ended: {status}", host.name));
         }
     }
-    if whole < 50 { Err(format!("only {whole} uploads were answered")) } else { Ok(()) }
+    if whole < 50 {
+        Err(format!("only {whole} uploads were answered"))
+    } else {
+        Ok(())
+    }
 }
 
 fn upload(caller: u64, address: SocketAddr, stop: &AtomicBool, whole: &AtomicU64, record: &Record) {
@@ -172,7 +213,10 @@
         let head = request_head("PUT", "/docs/photo", &id, 4_500, None, body.len());
         match ask(&mut connection, &head, &body) {
             Ok(answer) => {
-                let (status, signed) = (answer.head.status(), answer.head.get("upstream-signature").is_some());
+                let (status, signed) = (
+                    answer.head.status(),
+                    answer.head.get("upstream-signature").is_some(),
+                );
                 if status != 200 {
                     record.add(format!("caller {id} is answered {status}"));
                 } else if answer.body == answer_to(&id) {
--- a/review/standins-2/src/upstream.rs
+++ b/review/standins-2/src/upstream.rs
@@ -56,7 +56,11 @@
 
     fn others(&self, id: &str) -> Vec<Upstream> {
         let members = self.members.lock().unwrap();
-        members.iter().filter(|member| member.id != id && member.is_up()).cloned().collect()
+        members
+            .iter()
+            .filter(|member| member.id != id && member.is_up())
+            .cloned()
+            .collect()
     }
 }
 
@@ -107,7 +111,10 @@
 impl Upstream {
     pub fn start(options: &Options<'_>, group: &Group, store: &Store, record: &Record) -> Self {
         let listener = TcpListener::bind((crate::site::ip(1), 0)).expect("a free port");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis() as u64;
         let upstream = Self {
             id: options.id.to_owned(),
             address: listener.local_addr().unwrap(),
@@ -154,7 +161,11 @@
     }
 
     fn publish(&self) {
-        let state = if self.shared.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.shared.draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let spec = json!({
             "Address": self.address.to_string(), "born": self.born,
             "Info": { "Service": self.service, "Version": "v1", "Zone": self.zone, "Slots": self.slots },
@@ -173,9 +184,15 @@
     /// Sets whether it repeats answers, and begins to count them anew.
     pub fn set_repeats(&self, on: bool) {
         let repeats = &self.shared.repeats;
-        let (answers, repeated) = (repeats.answers.swap(0, Ordering::SeqCst), repeats.repeated.swap(0, Ordering::SeqCst));
+        let (answers, repeated) = (
+            repeats.answers.swap(0, Ordering::SeqCst),
+            repeats.repeated.swap(0, Ordering::SeqCst),
+        );
         if repeats.is_on.swap(on, Ordering::SeqCst) {
-            self.record.add(format!("{} has repeated {repeated} of {answers} answers", self.id));
+            self.record.add(format!(
+                "{} has repeated {repeated} of {answers} answers",
+                self.id
+            ));
         }
     }
 
@@ -203,7 +220,10 @@
             }
             let has_repeated = repeated.is_some();
             if let Some(bytes) = repeated.take() {
-                self.record.add(format!("{} repeats its last answer on the connection", self.id));
+                self.record.add(format!(
+                    "{} repeats its last answer on the connection",
+                    self.id
+                ));
                 connection.write(&bytes).ok()?;
             }
             let path = head.first.get(1).map(String::as_str).unwrap_or_default();
@@ -222,7 +242,8 @@
     }
 
     fn misdirected(&self, head: &Head) -> bool {
-        head.get("target-instance").is_some_and(|target| target != self.id)
+        head.get("target-instance")
+            .is_some_and(|target| target != self.id)
     }
 
     fn reject(&self, status: u16, id: &str) -> String {
@@ -233,7 +254,11 @@
     }
 
     fn health(&self) -> String {
-        let status = if self.shared.draining.load(Ordering::SeqCst) { 503 } else { 200 };
+        let status = if self.shared.draining.load(Ordering::SeqCst) {
+            503
+        } else {
+            200
+        };
         let running = self.shared.running_count.load(Ordering::SeqCst);
         format!(
             "HTTP/1.1 {status} X\r\nInstance-Id: {}\r\nUpstream-Load: {running},0,{}\r\nContent-Length: 0\r\n\r\n",
@@ -251,7 +276,10 @@
         {
             let mut keys = self.shared.keys.lock().unwrap();
             let now = Instant::now();
-            let holds = keys.grants.iter().any(|grant| grant.has(key) && !grant.released && grant.until > now);
+            let holds = keys
+                .grants
+                .iter()
+                .any(|grant| grant.has(key) && !grant.released && grant.until > now);
             if !holds {
                 drop(keys);
                 return self.reject(421, &id);
@@ -260,7 +288,13 @@
                 drop(keys);
                 return self.reject(503, &id);
             }
-            keys.running.insert(number, Running { id: id.clone(), key });
+            keys.running.insert(
+                number,
+                Running {
+                    id: id.clone(),
+                    key,
+                },
+            );
         }
         let running = self.shared.running_count.fetch_add(1, Ordering::SeqCst) + 1;
         self.record.add(format!("{} runs {id} key {key}", self.id));
@@ -280,9 +314,12 @@
     fn grant(&self, head: &Head, body: &[u8]) -> String {
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let number = |name: &str| body[name].as_u64();
-        let (Some(from), Some(to), Some(fence), Some(hold)) =
-            (number("From"), number("To"), number("fence"), number("HoldMs"))
-        else {
+        let (Some(from), Some(to), Some(fence), Some(hold)) = (
+            number("From"),
+            number("To"),
+            number("fence"),
+            number("HoldMs"),
+        ) else {
             return "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n".to_owned();
         };
         if self.misdirected(head) {
@@ -290,16 +327,32 @@
         }
         let (from, to) = (from as u16, to as u16);
         let until = Instant::now() + Duration::from_millis(hold);
-        let grant = Grant { from, to, fence, until, released: false };
+        let grant = Grant {
+            from,
+            to,
+            fence,
+            until,
+            released: false,
+        };
         let is_renewal = {
             let mut keys = self.shared.keys.lock().unwrap();
             let overlaps = |known: &&Grant| known.from <= to && from <= known.to;
-            if keys.grants.iter().filter(overlaps).any(|known| known.fence > fence) {
+            if keys
+                .grants
+                .iter()
+                .filter(overlaps)
+                .any(|known| known.fence > fence)
+            {
                 drop(keys);
-                self.record.add(format!("{} rejects the grant of {from}-{to} fence {fence}", self.id));
+                self.record.add(format!(
+                    "{} rejects the grant of {from}-{to} fence {fence}",
+                    self.id
+                ));
                 return "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n".to_owned();
             }
-            let same = |known: &&mut Grant| known.from == from && known.to == to && known.fence == fence && !known.released;
+            let same = |known: &&mut Grant| {
+                known.from == from && known.to == to && known.fence == fence && !known.released
+            };
             match keys.grants.iter_mut().find(same) {
                 Some(known) => {
                     known.until = known.until.max(until);
@@ -312,7 +365,10 @@
             }
         };
         if !is_renewal {
-            self.record.add(format!("{} is granted {from}-{to} fence {fence} for {hold} ms", self.id));
+            self.record.add(format!(
+                "{} is granted {from}-{to} fence {fence} for {hold} ms",
+                self.id
+            ));
             self.check_grant(&grant);
         }
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned()
@@ -324,13 +380,22 @@
         let now = Instant::now();
         for other in self.group.others(&self.id) {
             let keys = other.shared.keys.lock().unwrap();
-            for running in keys.running.values().filter(|running| grant.has(running.key)) {
+            for running in keys
+                .running
+                .values()
+                .filter(|running| grant.has(running.key))
+            {
                 let holds = keys.grants.iter().filter(|known| known.has(running.key));
-                let left = holds.map(|known| known.until.saturating_duration_since(now)).max();
+                let left = holds
+                    .map(|known| known.until.saturating_duration_since(now))
+                    .max();
                 let Some(left) = left.filter(|left| !left.is_zero()) else {
                     continue;
                 };
-                let is_held = keys.grants.iter().any(|known| known.has(running.key) && !known.released);
+                let is_held = keys
+                    .grants
+                    .iter()
+                    .any(|known| known.has(running.key) && !known.released);
                 self.record.broken(format!(
                     "OWNER: {} is given {}-{} fence {}, while {} is still at work on {} of key {}; its hold would run for another {} ms{}",
                     self.id, grant.from, grant.to, grant.fence, other.id, running.id, running.key, left.as_millis(),
@@ -347,7 +412,8 @@
         if self.misdirected(head) {
             return self.reject(421, "");
         }
-        self.record.add(format!("{} gets the release of {from}-{to}", self.id));
+        self.record
+            .add(format!("{} gets the release of {from}-{to}", self.id));
         let mut keys = self.shared.keys.lock().unwrap();
         let mut parts = Vec::new();
         for mut grant in std::mem::take(&mut keys.grants) {
@@ -356,10 +422,16 @@
                 continue;
             }
             if grant.from < from {
-                parts.push(Grant { to: from - 1, ..grant.clone() });
+                parts.push(Grant {
+                    to: from - 1,
+                    ..grant.clone()
+                });
             }
             if to < grant.to {
-                parts.push(Grant { from: to + 1, ..grant.clone() });
+                parts.push(Grant {
+                    from: to + 1,
+                    ..grant.clone()
+                });
             }
             grant.from = grant.from.max(from);
             grant.to = grant.to.min(to);
@@ -367,11 +439,16 @@
             parts.push(grant);
         }
         keys.grants = parts;
-        while keys.running.values().any(|running| from <= running.key && running.key <= to) {
+        while keys
+            .running
+            .values()
+            .any(|running| from <= running.key && running.key <= to)
+        {
             keys = self.shared.changed.wait(keys).unwrap();
         }
         drop(keys);
-        self.record.add(format!("{} answers the release of {from}-{to}", self.id));
+        self.record
+            .add(format!("{} answers the release of {from}-{to}", self.id));
         "HTTP/1.1 200 OK\r\nHandover: 5c0e7a21d94b36f8\r\nContent-Length: 0\r\n\r\n".to_owned()
     }
 }
