Review case 7: lost keys stay unserved after all hosts were replaced

Promise: RULES, RECOVER: later than RecoveryS after the machines are back, no less than a quarter of the requests is served, if a quarter was before the final fault.

What breaks it: all hosts are replaced, one after the other, as planned. The record's list of voters then has twice as many names as there are hosts, the next leader finds no majority, and keys of upstreams that are lost wait for an hour. The zone of the upstreams loses power for 1.5 s: no request is served from then on.

The former case 7 (a repeated answer to a grant) goes: review/2 shows the same.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,9 +3,9 @@
 //! `case NAME RECORD FOLDER` plays a case; with `TROUBLE=0` in the environment, without its disruption.
 
 mod http;
-mod orders;
 mod poison;
 mod record;
+mod replaced;
 mod site;
 mod store;
 mod uploads;
@@ -23,8 +23,8 @@
     let record = record::Record::new();
     let folder = Path::new(folder);
     let result = match name.as_str() {
-        "orders" => orders::run(&record, folder, trouble),
         "poison" => poison::run(&record, folder, trouble),
+        "replaced" => replaced::run(&record, folder, trouble),
         "uploads" => uploads::run(&record, folder, trouble),
         _ => Err(format!("there is no case {name}")),
     };
