--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -23,7 +23,8 @@
     let record = record::Record::new();
     let folder = Path::new(folder);
     let result = match name.as_str() {
-        "poison" => poison::run(&record, folder, trouble),
+        "cookie" => poison::cookie(&record, folder, trouble),
+        "killed" => poison::killed(&record, folder, trouble),
         "replaced" => replaced::run(&record, folder, trouble),
         "uploads" => uploads::run(&record, folder, trouble),
         _ => Err(format!("there is no case {name}")),
--- a/review/standins-2/src/poison.rs
+++ b/review/standins-2/src/poison.rs
@@ -1,4 +1,5 @@
-//! Case: a request that crashes each upstream that begins to run it comes again after all hosts were killed.
+//! Cases: a request that crashes each upstream that begins to run it comes again, after all hosts were killed
+//! (`killed`), or while other callers send requests with the same path (`cookie`).
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -8,7 +9,7 @@
 
 use serde_json::json;
 
-use crate::http::Connection;
+use crate::http::{Connection, Head};
 use crate::record::Record;
 use crate::site::{Host, ZONES, ask, configure, ip, request_head, route, service, wait_until};
 use crate::store::Store;
@@ -24,7 +25,7 @@
 /// `ContactMs`.
 const CONTACT: Duration = Duration::from_millis(4_000);
 /// Time between two arrivals of the request that crashes upstreams.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(150);
 /// How long it comes before the hosts are killed, and after they are in touch again.
 const PHASE: Duration = Duration::from_secs(12);
 /// Time for which all hosts are down.
@@ -46,6 +47,8 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     starts: Arc<AtomicU64>,
     ended: Arc<AtomicBool>,
+    /// Whether a request crashes the upstream that begins to run it.
+    is_poison: fn(&Head, &[u8]) -> bool,
 }
 
 impl Service {
@@ -147,7 +150,7 @@
                 connection.write(text.as_bytes()).ok()?;
                 continue;
             }
-            if body == POISON_BODY {
+            if (self.service.is_poison)(&head, &body) {
                 record.add(format!("{} begins to run {id} and crashes", self.id));
                 let arrival = Arrival {
                     at: Instant::now(),
@@ -168,7 +171,7 @@
     }
 }
 
-pub fn run(record: &Record, folder: &std::path::Path, trouble: bool) -> Result<(), String> {
+pub fn killed(record: &Record, folder: &std::path::Path, trouble: bool) -> Result<(), String> {
     let store = Store::start(TcpListener::bind((ip(1), 0)).map_err(|error| error.to_string())?);
     configure(
         &store,
@@ -182,6 +185,7 @@
         arrivals: Arc::default(),
         starts: Arc::default(),
         ended: Arc::default(),
+        is_poison: |_, body| body == POISON_BODY,
     };
     for number in 0..UPSTREAMS {
         upstreams.start(number, false);
@@ -315,3 +319,141 @@
         thread::sleep(Duration::from_millis(100));
     }
 }
+
+/// Interval of the request of the case `cookie`, the time for which it comes, and its cookie.
+const COOKIE_INTERVAL: Duration = Duration::from_millis(1_500);
+const COOKIE_TIME: Duration = Duration::from_secs(50);
+const POISON_COOKIE: &str = "session=7f3a91c2";
+
+pub fn cookie(record: &Record, folder: &std::path::Path, trouble: bool) -> Result<(), String> {
+    // For comparison: the other callers ask for other paths.
+    let shares_path = std::env::var("OTHER_PATHS").as_deref() != Ok("1");
+    let listener = TcpListener::bind((ip(1), 0)).map_err(|error| error.to_string())?;
+    let store = Store::start(listener);
+    configure(
+        &store,
+        1,
+        json!({ "read": route("/read/", "safe", "orders", 2_000) }),
+        json!({ "orders": service(false) }),
+    );
+    let upstreams = Service {
+        store: store.clone(),
+        record: record.clone(),
+        arrivals: Arc::default(),
+        starts: Arc::default(),
+        ended: Arc::default(),
+        is_poison: if trouble {
+            |head, _| head.get("cookie") == Some(POISON_COOKIE)
+        } else {
+            |_, _| false
+        },
+    };
+    for number in 0..UPSTREAMS {
+        upstreams.start(number, false);
+    }
+    let mut hosts: Vec<Host> = (0..HOSTS)
+        .map(|index| Host::new(folder, index, store.address, 260))
+        .collect();
+    for host in &mut hosts {
+        host.start(record);
+    }
+    wait_until(Duration::from_secs(20), "all hosts are ready", || {
+        hosts.iter().all(Host::is_ready)
+    })?;
+    thread::sleep(CONTACT);
+    let fronts: Vec<SocketAddr> = hosts.iter().map(|host| host.front).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let served = Arc::new(AtomicU64::new(0));
+    let failed = Arc::new(AtomicU64::new(0));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let (stop, served, failed) = (stop.clone(), served.clone(), failed.clone());
+            let address = fronts[caller as usize % HOSTS];
+            let path = if shares_path {
+                "/read/front".to_owned()
+            } else {
+                format!("/read/{caller}")
+            };
+            thread::spawn(move || read(caller, &path, address, &stop, &served, &failed))
+        })
+        .collect();
+    let end = Instant::now() + COOKIE_TIME;
+    let mut number = 0;
+    while Instant::now() < end {
+        let id = format!("caller-{number}");
+        let host = number % HOSTS;
+        match get("/read/front", &id, POISON_COOKIE, fronts[host]) {
+            Ok(status) => record.add(format!("{id} at host {host} is answered {status}")),
+            Err(error) => record.add(format!("{id} at host {host} gets no answer: {error}")),
+        }
+        number += 1;
+        thread::sleep(COOKIE_INTERVAL);
+    }
+    stop.store(true, Ordering::Relaxed);
+    upstreams.ended.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let _ = caller.join();
+    }
+    for host in &mut hosts {
+        if let Some(status) = host.has_ended() {
+            return Err(format!("{} has ended: {status}", host.name));
+        }
+    }
+    record.add(format!(
+        "{} requests of other callers were served, {} were not",
+        served.load(Ordering::Relaxed),
+        failed.load(Ordering::Relaxed)
+    ));
+    let arrivals = upstreams.arrivals.lock().unwrap();
+    let third = arrivals.get(2).map(|arrival| arrival.at);
+    let late = arrivals
+        .iter()
+        .filter(|arrival| third.is_some_and(|third| arrival.at > third + CONTACT));
+    let late = late.count();
+    record.add(format!(
+        "{} arrivals, {late} of them later than ContactMs after the third crash",
+        arrivals.len()
+    ));
+    if late > 3 {
+        record.broken(format!(
+            "BUDGET: the request reached upstreams {late} times later than ContactMs after it had crashed the third one, and crashed {} in all",
+            arrivals.len()
+        ));
+    }
+    Ok(())
+}
+
+/// Sends a request on a connection of its own; returns the status of its answer.
+fn get(path: &str, id: &str, cookie: &str, address: SocketAddr) -> std::io::Result<u16> {
+    let head = request_head("GET", path, id, 2_500, None, 0);
+    let head = head.trim_end().to_owned() + "\r\nCookie: " + cookie + "\r\n\r\n";
+    let mut connection = Connection::open(address, Duration::from_secs(3))?;
+    Ok(ask(&mut connection, &head, &[])?.head.status())
+}
+
+fn read(
+    caller: u64,
+    path: &str,
+    address: SocketAddr,
+    stop: &AtomicBool,
+    served: &AtomicU64,
+    failed: &AtomicU64,
+) {
+    let mut number = 0_u64;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let status = get(
+            path,
+            &format!("{caller:02}-{number}"),
+            &format!("session={caller}"),
+            address,
+        );
+        let count = if status.is_ok_and(|status| status == 200) {
+            served
+        } else {
+            failed
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(60));
+    }
+}
