--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `case NAME RECORD FOLDER` plays a case; with `TROUBLE=0` in the environment, without its disruption.
 
+mod foreign;
 mod http;
 mod poison;
 mod record;
@@ -26,6 +27,7 @@
         "cookie" => poison::cookie(&record, folder, trouble),
         "killed" => poison::killed(&record, folder, trouble),
         "replaced" => replaced::run(&record, folder, trouble),
+        "foreign" => foreign::run(&record, folder, trouble),
         "uploads" => uploads::run(&record, folder, trouble),
         _ => Err(format!("there is no case {name}")),
     };
