RECOVER: escape names in requests to the store

What callers saw: while an entry of another program stood in the list of servers under a name with `&`, `+`, `#`, `%` or a blank, almost no request was served after all processes had been restarted.

Cause: the last name of a page was put into the query of the next page as it was, so the store refused the call or answered another one, and the list failed as a whole. Beside it: the next page started after the last object of use; a list whose pages repeat never ended; identifiers of servers could be any visible ASCII, so such entries got requests.

Change: names are percent-encoded in paths and queries, a list goes on after the last object that has a name, byte for byte, a repeated page is an error, and identifiers of servers have letters, digits and `-._~:@`. Lists, watches and relayed changes apply the same rule; failure domains keep theirs. The fake store lists in pages and decodes its targets.

No character of a name can end or change a target any more, which is why the place of the entry in the list does not matter.

--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -158,13 +158,18 @@
 }
 
 /// Reads all objects of a kind, and the revision from which to watch for changes.
+///
+/// # Errors
+///
+/// Fails as a call does, or if a page starts where an earlier one did.
 pub(crate) async fn list(
     host: &EntryHost,
     kind: Kind,
     consistency: Consistency,
 ) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
     let mut objects = Vec::new();
-    let mut after: Option<String> = None;
+    let mut after: Option<Vec<u8>> = None;
+    let mut starts = BTreeSet::new();
     let mut first_revision = None;
     loop {
         let mut path = platform::list_path(kind, after.as_deref());
@@ -182,7 +187,11 @@
             return Err(StoreError::Unknown(reason));
         }
         match page.next_after {
-            Some(name) => after = Some(name),
+            Some(name) if starts.insert(name.clone()) => after = Some(name),
+            Some(_) => {
+                let reason = format!("two pages of {kind} start after the same name");
+                return Err(StoreError::Unknown(reason));
+            }
             None => return Ok((objects, revision)),
         }
     }
@@ -434,7 +443,10 @@
         router.allow_reregistration(now, Duration::from_millis(update.reregistration_ms));
         if *kind == platform::SERVERS {
             let entries = update.entries.iter().filter_map(EntryMessage::to_entry);
-            let entries = entries.filter(|entry| !host.settings.is_own_address(entry.address));
+            let entries = entries.filter(|entry| {
+                // Leaders of earlier versions relay servers under other names, too.
+                platform::is_server_id(&entry.id) && !host.settings.is_own_address(entry.address)
+            });
             let entries: Vec<ServerEntry> = entries.collect();
             let ids = |ids: &[String]| ids.iter().map(|id| Arc::from(&**id)).collect();
             let unreadable: Vec<Arc<str>> = ids(&update.unreadable);
--- a/crates/front/src/watch/entries.rs
+++ b/crates/front/src/watch/entries.rs
@@ -19,12 +19,14 @@
         .collect();
     let mut servers = ServerChanges::default();
     for (id, change) in last {
-        if change.deleted {
-            servers.removed.push(Arc::from(id));
-        } else if let Some(entry) = read_entry(host, &change.object) {
-            servers.entries.push(entry);
-        } else {
-            servers.unreadable.push(Arc::from(id));
+        let listed = Some(&change.object).filter(|_| !change.deleted);
+        match listed.and_then(|object| read_entry(host, object)) {
+            Some(entry) => servers.entries.push(entry),
+            // Followers of earlier versions may take an entry under another name for a server.
+            None if change.deleted || !platform::is_server_id(id) => {
+                servers.removed.push(Arc::from(id));
+            }
+            None => servers.unreadable.push(Arc::from(id)),
         }
     }
     let changes = servers.clone();
@@ -42,7 +44,7 @@
     for object in objects {
         match read_entry(host, object) {
             Some(entry) => entries.push(entry),
-            None if platform::is_name(&object.name) => {
+            None if platform::is_server_id(&object.name) => {
                 unreadable.push(Arc::from(object.name.as_str()));
             }
             None => {}
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod leaving_servers;
 mod long_bodies;
 mod odd_entries;
+mod odd_names;
 mod pauses;
 mod pipelined_requests;
 mod restored_store;
--- a/crates/support/src/platform/objects.rs
+++ b/crates/support/src/platform/objects.rs
@@ -1,5 +1,7 @@
-//! A fake of the platform's store: objects by kind and name, conditional writes, watches, and
-//! restores from a copy.
+//! A fake of the platform's store: objects by kind and name, lists in pages, conditional writes,
+//! watches, and restores from a copy.
+
+mod targets;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,12 +15,18 @@
 
 use crate::lock::lock;
 use crate::serve::{Tasks, serve};
+use targets::{Parameters, decode_segment};
 
 /// Interval at which a waiting watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of changes kept for watches; a watch from an older revision gets 410.
 const MAX_HISTORY_CHANGES: usize = 4_000;
 
+/// Objects on a page of a list, at most.
+const PAGE_OBJECTS: usize = 500;
+/// Bytes of the objects on a page of a list, at most, unless a single one is longer.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// Longest pause between two objects that are written again after a restore.
 const REWRITE_PAUSE: Duration = Duration::from_millis(60);
 
@@ -36,6 +44,8 @@
     DropsWriteResponses,
     /// Answers are delayed by this many milliseconds.
     Slow(u64),
+    /// Each page of a list is the first one.
+    RepeatsPages,
 }
 
 /// The kind and the name of an object.
@@ -65,6 +75,8 @@
     dropped_revision: u64,
     fault: StoreFault,
     calls: u64,
+    /// Objects on a page of a list, at most.
+    page_objects: usize,
 }
 
 impl Default for State {
@@ -78,6 +90,7 @@
             dropped_revision: 0,
             fault: StoreFault::default(),
             calls: 0,
+            page_objects: PAGE_OBJECTS,
         }
     }
 }
@@ -118,6 +131,24 @@
         lost
     }
 
+    /// The objects of a kind whose names come after `after`, up to the end of a page; the flag tells
+    /// whether there are more.
+    fn page(&self, kind: &str, after: &[u8]) -> (Vec<&Value>, bool) {
+        let listed = self.objects.iter().filter(|((stored_kind, name), _)| {
+            stored_kind == kind && (after.is_empty() || name.as_bytes() > after)
+        });
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        for (_, object) in listed {
+            bytes += object.to_string().len();
+            if items.len() == self.page_objects || (bytes > PAGE_BYTES && !items.is_empty()) {
+                return (items, true);
+            }
+            items.push(object);
+        }
+        (items, false)
+    }
+
     fn append_history(&mut self, kind: &str, object: Value, deleted: bool) {
         self.history
             .push((self.revision, kind.to_owned(), object, deleted));
@@ -226,6 +257,11 @@
         lock(&self.state).fault
     }
 
+    /// Limits the objects on a page of a list.
+    pub fn set_page_objects(&self, count: usize) {
+        lock(&self.state).page_objects = count;
+    }
+
     /// Drops the change history, so that watches from earlier revisions get 410.
     pub fn drop_history(&self) {
         let mut state = lock(&self.state);
@@ -298,7 +334,7 @@
                 task::sleep(Duration::from_millis(millis)).await;
                 None
             }
-            StoreFault::None | StoreFault::DropsWriteResponses => None,
+            StoreFault::None | StoreFault::DropsWriteResponses | StoreFault::RepeatsPages => None,
         }
     }
 
@@ -317,35 +353,28 @@
     response
 }
 
-fn query_parameter(request: &Request<FakeObjectStore>, name: &str) -> Option<String> {
-    let mut pairs = request.url().query_pairs();
-    pairs
-        .find(|(key, _)| key == name)
-        .map(|(_, value)| value.into_owned())
-}
-
 async fn list_or_watch(request: Request<FakeObjectStore>) -> tide::Result {
     let store = request.state().clone();
     if let Some(response) = store.apply_fault().await {
         return Ok(response);
     }
     let kind = request.param("kind")?.to_owned();
-    let Some(from) = query_parameter(&request, "Watch").and_then(|text| text.parse::<u64>().ok())
-    else {
+    let Some(parameters) = Parameters::parse(request.url().query().unwrap_or_default()) else {
+        return Ok(Response::new(400));
+    };
+    let Some(from) = parameters.number("Watch") else {
+        let after = match store.fault() {
+            StoreFault::RepeatsPages => &[],
+            _ => parameters.value("after").unwrap_or_default(),
+        };
         let state = lock(&store.state);
-        let items = state
-            .objects
-            .iter()
-            .filter(|((stored_kind, _), _)| *stored_kind == kind);
-        let items: Vec<&Value> = items.map(|(_, object)| object).collect();
+        let (items, more) = state.page(&kind, after);
         return Ok(json_response(
             200,
-            &json!({ "items": items, "More": false, "CurrentRev": state.revision }),
+            &json!({ "items": items, "More": more, "CurrentRev": state.revision }),
         ));
     };
-    let wait = query_parameter(&request, "WaitMs")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let wait = parameters.number("WaitMs").unwrap_or(0);
     let deadline = Instant::now() + Duration::from_millis(wait);
     let era = lock(&store.state).era;
     loop {
@@ -380,10 +409,10 @@
     if let Some(response) = store.apply_fault().await {
         return Ok(response);
     }
-    let key = (
-        request.param("kind")?.to_owned(),
-        request.param("name")?.to_owned(),
-    );
+    let Some(name) = decode_segment(request.param("name")?) else {
+        return Ok(Response::new(400));
+    };
+    let key = (request.param("kind")?.to_owned(), name);
     let state = lock(&store.state);
     Ok(state
         .objects
@@ -421,10 +450,10 @@
         return Ok(response);
     }
     let body: Value = request.body_json().await?;
-    let (kind, name) = (
-        request.param("kind")?.to_owned(),
-        request.param("name")?.to_owned(),
-    );
+    let Some(name) = decode_segment(request.param("name")?) else {
+        return Ok(Response::new(400));
+    };
+    let kind = request.param("kind")?.to_owned();
     let (status, object) = {
         let mut state = lock(&store.state);
         let Some(current) = state.objects.get(&(kind.clone(), name.clone())).cloned() else {
--- a/crates/support/src/platform/scripted.rs
+++ b/crates/support/src/platform/scripted.rs
@@ -27,6 +27,7 @@
 /// A server that answers each request by a script, which gets the request's identifier.
 #[derive(Clone)]
 pub struct ScriptedUpstream {
+    address: SocketAddr,
     script: Arc<Script>,
     received: Arc<Mutex<Vec<String>>>,
     broken_off: Arc<Mutex<Vec<String>>>,
@@ -47,6 +48,7 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let upstream = Self {
+            address,
             script: Arc::new(script),
             received: Arc::default(),
             broken_off: Arc::default(),
@@ -67,6 +69,11 @@
         Ok(upstream)
     }
 
+    /// The address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The identifiers of the requests received, in order.
     pub fn received(&self) -> Vec<String> {
         lock(&self.received).clone()
