Escape keys in requests to the project's own store

What operators saw: `amaranthctl host out 's1#2'` took the host `s1` out. Found while looking for the cause of the entries with odd names; not reported.

Cause: StoreClient put keys and prefixes into paths and queries as they were, so the URL parser or the store made another key of them, and amaranthctl did not check the names of hosts and servers.

Change: keys and prefixes are percent-encoded but for unreserved characters and slashes; amaranthctl checks all names. The fake store decodes escapes and refuses malformed ones.

--- a/crates/clients/src/store.rs
+++ b/crates/clients/src/store.rs
@@ -7,6 +7,7 @@
 use amaranthshunt_core::object::{CONFIG_PREFIX, Object, ObjectKey};
 use bytes::Bytes;
 use http_types::{Method, headers};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -16,6 +17,15 @@
 /// Time after which the store answers a watch without a change.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// What is escaped in keys: all but the unreserved characters of RFC 3986, section 2.3, and slashes, which
+/// separate the parts of a key.
+const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b'/');
+
 /// The current state of an object in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreObject {
@@ -160,6 +170,7 @@
         wait: Duration,
     ) -> Result<(Vec<Object>, Revision)> {
         let wait_millis = wait.as_millis();
+        let prefix = utf8_percent_encode(prefix, RESERVED);
         let path = format!("/changes?prefix={prefix}&after={after}&wait_ms={wait_millis}");
         let request = request(Method::Get, self.address, &path)?;
         let timeout = self.timeout + wait;
@@ -177,7 +188,7 @@
 }
 
 fn object_path(key: &ObjectKey) -> String {
-    format!("/objects/{key}")
+    format!("/objects/{}", utf8_percent_encode(&key.0, RESERVED))
 }
 
 fn write_result(reply: &Reply) -> Result<Revision> {
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -6,6 +6,7 @@
 
 use amaranthshunt_clients::StoreClient;
 use amaranthshunt_core::ids::{HostId, Revision};
+use amaranthshunt_core::names::is_valid_name;
 use amaranthshunt_core::record::Subject;
 use amaranthshunt_settings::{read_entry, read_host_file};
 use async_std::task;
@@ -122,6 +123,7 @@
             ["entry", "show", name] => self.show_entry(name).await?,
             ["entry", "apply", path] => self.apply_entry(path).await?,
             ["entry", "remove", name] => {
+                check_name(name)?;
                 let store = self.store()?;
                 let revision = change::remove_entry(&store, &self.operator, name).await?;
                 written_message(revision)
@@ -223,11 +225,25 @@
 }
 
 fn parse_subject(kind: &str, name: &str) -> Result<Subject> {
-    match kind {
-        "domain" => Ok(Subject::Domain(name.parse().into_diagnostic()?)),
-        "host" => Ok(Subject::Host(name.to_owned())),
-        _ => Ok(Subject::Server(name.to_owned())),
+    if kind == "domain" {
+        return Ok(Subject::Domain(name.parse().into_diagnostic()?));
     }
+    check_name(name)?;
+    Ok(if kind == "host" {
+        Subject::Host(name.to_owned())
+    } else {
+        Subject::Server(name.to_owned())
+    })
+}
+
+/// Checks the name of an entry, host or backend server.
+fn check_name(name: &str) -> Result<()> {
+    if is_valid_name(name) {
+        return Ok(());
+    }
+    Err(miette!(
+        "`{name}` is not a name: expected 1 to 64 letters, digits, `-` or `_`"
+    ))
 }
 
 fn written_message(revision: Revision) -> String {
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -169,6 +169,24 @@
     assert!(!status.contains("este/e1 is out"), "{status}");
 }
 
+// Guards against an order for another host or server than the one that was named.
+#[test]
+fn an_order_for_a_name_that_no_host_or_server_has_is_rejected() {
+    let store = start_store();
+    for name in ["s1#2", "s1?x", "s1 2", "s1%32", "s1/2", "..", ""] {
+        for kind in ["host", "server"] {
+            let done = run_ctl(&store, "ana", &[kind, "out", name]);
+            assert_eq!(done.status.code(), Some(1), "{kind} {name}");
+            assert!(stderr(&done).contains("1 to 64"), "{}", stderr(&done));
+        }
+    }
+    let removed = run_ctl(&store, "ana", &["entry", "remove", "../order/x"]);
+    assert_eq!(removed.status.code(), Some(1));
+    let status = stdout(&run_ctl(&store, "ana", &["status"]));
+    assert!(!status.contains("is out"), "{status}");
+    assert_eq!(stdout(&run_ctl(&store, "ana", &["audit"])).trim(), "");
+}
+
 #[test]
 fn invalid_command_lines_exit_with_two() {
     for arguments in [
--- a/crates/support/src/lib.rs
+++ b/crates/support/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 mod serve;
 mod store;
+mod targets;
 
 pub use backend::{BackendOptions, FakeBackend};
 pub use deployment::{Deployment, DeploymentOptions, free_address, run_host_process};
--- a/crates/support/src/platform/objects.rs
+++ b/crates/support/src/platform/objects.rs
@@ -1,8 +1,6 @@
 //! A fake of the platform's store: objects by kind and name, lists in pages, conditional writes,
 //! watches, and restores from a copy.
 
-mod targets;
-
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -15,7 +13,7 @@
 
 use crate::lock::lock;
 use crate::serve::{Tasks, serve};
-use targets::{Parameters, decode_segment};
+use crate::targets::{Parameters, decode_path};
 
 /// Interval at which a waiting watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -409,7 +407,7 @@
     if let Some(response) = store.apply_fault().await {
         return Ok(response);
     }
-    let Some(name) = decode_segment(request.param("name")?) else {
+    let Some(name) = decode_path(request.param("name")?) else {
         return Ok(Response::new(400));
     };
     let key = (request.param("kind")?.to_owned(), name);
@@ -450,7 +448,7 @@
         return Ok(response);
     }
     let body: Value = request.body_json().await?;
-    let Some(name) = decode_segment(request.param("name")?) else {
+    let Some(name) = decode_path(request.param("name")?) else {
         return Ok(Response::new(400));
     };
     let kind = request.param("kind")?.to_owned();
--- a/crates/support/src/store.rs
+++ b/crates/support/src/store.rs
@@ -9,11 +9,11 @@
 use amaranthshunt_clients::{Change, Changes, HostEntry};
 use async_std::task;
 use http_types::StatusCode;
-use serde::Deserialize;
 use serde_json::value::RawValue;
 use tide::{Request, Response};
 
 use crate::serve::{Tasks, serve};
+use crate::targets::{Parameters, decode_path};
 
 /// Interval at which waiting calls check for changes or for the end of an outage.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
@@ -52,13 +52,22 @@
     value: Option<Vec<u8>>,
 }
 
-#[derive(Deserialize)]
 struct ChangesQuery {
     prefix: String,
     after: u64,
     wait_ms: u64,
 }
 
+impl ChangesQuery {
+    fn read(parameters: &Parameters) -> Option<Self> {
+        Some(Self {
+            prefix: String::from_utf8(parameters.value("prefix")?.to_vec()).ok()?,
+            after: parameters.number("after")?,
+            wait_ms: parameters.number("wait_ms")?,
+        })
+    }
+}
+
 impl FakeStore {
     /// Starts a store on an address.
     ///
@@ -149,9 +158,11 @@
     let shared = request.state().clone();
     shared.begin_call().await;
     shared.reads.fetch_add(1, Ordering::Relaxed);
-    let key = request.param("key").unwrap_or_default();
+    let Some(key) = decode_path(request.param("key").unwrap_or_default()) else {
+        return Ok(Response::new(StatusCode::BadRequest));
+    };
     let state = shared.lock();
-    let stored = state.objects.get(key);
+    let stored = state.objects.get(&key);
     let revision = stored.map_or(0, |stored| stored.revision);
     let value = stored.and_then(|stored| stored.value.clone());
     let status = if value.is_some() {
@@ -176,7 +187,9 @@
 async fn write(request: StoreRequest, value: Option<Vec<u8>>) -> tide::Result {
     let shared = request.state().clone();
     shared.begin_call().await;
-    let key = request.param("key").unwrap_or_default().to_owned();
+    let Some(key) = decode_path(request.param("key").unwrap_or_default()) else {
+        return Ok(Response::new(StatusCode::BadRequest));
+    };
     let expected = request
         .header("if-match")
         .and_then(|values| values.last().as_str().parse().ok());
@@ -217,7 +230,10 @@
 
 async fn changes(request: StoreRequest) -> tide::Result {
     let shared = request.state().clone();
-    let query: ChangesQuery = request.query()?;
+    let query = Parameters::parse(request.url().query().unwrap_or_default());
+    let Some(query) = query.as_ref().and_then(ChangesQuery::read) else {
+        return Ok(Response::new(StatusCode::BadRequest));
+    };
     shared.watches.fetch_add(1, Ordering::Relaxed);
     let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
--- a/crates/support/src/platform/objects/targets.rs
+++ b/crates/support/src/targets.rs
@@ -5,11 +5,11 @@
 
 /// The parameters of a query, in order.
 #[derive(Debug)]
-pub(super) struct Parameters(Vec<(Vec<u8>, Vec<u8>)>);
+pub(crate) struct Parameters(Vec<(Vec<u8>, Vec<u8>)>);
 
 impl Parameters {
     /// Decodes a query; `None` if an escape is malformed.
-    pub(super) fn parse(query: &str) -> Option<Self> {
+    pub(crate) fn parse(query: &str) -> Option<Self> {
         let pairs = query.split('&').filter(|pair| !pair.is_empty());
         let pairs = pairs.map(|pair| {
             let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
@@ -22,20 +22,20 @@
     }
 
     /// The last value of a parameter, which a second one overrides.
-    pub(super) fn value(&self, name: &str) -> Option<&[u8]> {
+    pub(crate) fn value(&self, name: &str) -> Option<&[u8]> {
         let mut pairs = self.0.iter().rev();
         let found = pairs.find(|(other, _)| other == name.as_bytes());
         found.map(|(_, value)| value.as_slice())
     }
 
     /// The last value of a parameter that is a number.
-    pub(super) fn number(&self, name: &str) -> Option<u64> {
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
         std::str::from_utf8(self.value(name)?).ok()?.parse().ok()
     }
 }
 
-/// Decodes a segment of a path; `None` if an escape is malformed or the result is not UTF-8.
-pub(super) fn decode_segment(text: &str) -> Option<String> {
+/// Decodes a part of a path; `None` if an escape is malformed or the result is not UTF-8.
+pub(crate) fn decode_path(text: &str) -> Option<String> {
     String::from_utf8(decode(text)?).ok()
 }
 
