MIXED: a reset during an upload ends no response in order

What callers saw: a server answered a long upload at once with a 200 without a length and reset the connection while the upload was being written. The caller got the part that had arrived as a complete response.

Cause: the write of the request took the socket's only error, and Connection::exchange dropped it; the reads after it saw a plain end, which ends a body without a length.

Change: a connection keeps the error of its write. After one, the end of the input counts as the end of such a body only if the server had declared it, which a broken pipe shows.

The error of the write is the one thing that tells a reset from an end on such a socket.

--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -51,6 +51,8 @@
     slot: Option<CallerSlot>,
     /// Whether requests are in flight, whatever is read behind them.
     has_requests: bool,
+    /// The error of a write, which reads do not report again: they see an end of the input instead.
+    write_error: Option<io::ErrorKind>,
 }
 
 impl Connection {
@@ -65,6 +67,7 @@
             reception: None,
             slot: None,
             has_requests: false,
+            write_error: None,
         }
     }
 
@@ -359,6 +362,7 @@
                 }
                 occupy(account, body.occupied())?;
                 if self.fill().await? == 0 {
+                    self.check_end()?;
                     break;
                 }
             },
@@ -366,6 +370,17 @@
         Ok(body.finish())
     }
 
+    /// Checks that the end of the input is one that the peer has declared.
+    ///
+    /// A reset fails the write that it meets, and only that. A broken pipe is the failure of a write after the
+    /// peer has declared the end: what it has sent is complete.
+    fn check_end(&self) -> Result<()> {
+        match self.write_error {
+            None | Some(io::ErrorKind::BrokenPipe) => Ok(()),
+            Some(kind) => Err(HttpError::Io(kind.into())),
+        }
+    }
+
     /// Moves up to `count` buffered bytes to a body that will have at most `expected` more.
     fn move_to_body(&mut self, body: &mut BodyBuffer, count: usize, expected: usize) {
         let count = count.min(self.buffer.len());
@@ -412,7 +427,8 @@
     }
 
     /// Sends a request and reads the head of its response, which may arrive before the request is
-    /// written completely; the flag tells whether it was.
+    /// written completely; the flag tells whether it was. If the write fails, a body that the end of the
+    /// connection ends is complete only if the server declared that end.
     ///
     /// # Errors
     ///
@@ -427,12 +443,15 @@
         let stream = self.stream.clone();
         let write = Box::pin(async move { write_message(&stream, head, body).await });
         let read = Box::pin(self.read_response(bodiless, account));
-        match select(write, read).await {
-            Either::Left((Ok(()), read)) => Ok((read.await?, true)),
-            // A server that responds early may stop reading; its response is valid all the same.
-            Either::Left((Err(_), read)) => Ok((read.await?, false)),
-            Either::Right((head, _)) => Ok((head?, false)),
+        let (head, written) = match select(write, read).await {
+            Either::Left((written, read)) => (read.await?, Some(written)),
+            Either::Right((head, _)) => (head?, None),
+        };
+        // A server that responds early may stop reading; its response is valid all the same.
+        if let Some(Err(error)) = &written {
+            self.write_error = Some(error.kind());
         }
+        Ok((head, matches!(written, Some(Ok(())))))
     }
 }
 
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod config_delay;
 mod crashing_requests;
+mod early_responses;
 mod endless;
 mod faulty_responses;
 mod leaving_servers;
--- a/crates/support/src/platform.rs
+++ b/crates/support/src/platform.rs
@@ -1,6 +1,7 @@
 //! Fakes that implement the protocol of the users' platform.
 
 mod arrivals;
+mod early;
 mod endless;
 mod objects;
 mod proxy;
@@ -9,6 +10,7 @@
 mod upstream;
 
 pub use arrivals::{Answer, Arrival};
+pub use early::{ConnectionEnd, EarlyAnswer, EarlyUpstream};
 pub use endless::{EndlessPart, EndlessUpstream};
 pub use objects::{FakeObjectStore, StoreFault};
 pub use proxy::{FaultProxy, LinkFault};
