--- a/crates/clients/tests/exchanges.rs
+++ b/crates/clients/tests/exchanges.rs
@@ -7,7 +7,9 @@
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use bytes::Bytes;
 use http_types::{Method, Request, Url};
+use yare::parameterized;
 
 /// The timeout of an exchange in these tests.
 const TIMEOUT: Duration = Duration::from_millis(300);
@@ -15,9 +17,14 @@
 /// Splits a response into parts that are sent with a pause between them.
 const PART_SEPARATOR: char = '\0';
 
+/// What is sent for the number of a connection and the path of a request.
+trait Answer: Copy + Fn(usize, &str) -> (Duration, String) + Send + Sync + 'static {}
+
+impl<F: Copy + Fn(usize, &str) -> (Duration, String) + Send + Sync + 'static> Answer for F {}
+
 /// Answers each request with the delay and text that `answer` returns for the connection's number
 /// and the path; closes the connection after a part that contains `cut`.
-async fn serve(answer: fn(usize, &str) -> (Duration, String)) -> SocketAddr {
+async fn serve(answer: impl Answer) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     task::spawn(async move {
@@ -30,11 +37,7 @@
     address
 }
 
-async fn serve_connection(
-    mut stream: TcpStream,
-    number: usize,
-    answer: fn(usize, &str) -> (Duration, String),
-) {
+async fn serve_connection(mut stream: TcpStream, number: usize, answer: impl Answer) {
     let mut buffer = [0; 2_048];
     while let Ok(length) = stream.read(&mut buffer).await {
         if length == 0 {
@@ -116,3 +119,54 @@
         }
     });
 }
+
+/// The status and the body of the response to a request, or the error.
+async fn exchange(address: SocketAddr) -> Result<(u16, Bytes), CallError> {
+    let reply = send(&HttpClient::default(), address, "/a").await;
+    reply.map(|reply| (reply.status, reply.body))
+}
+
+// Guards against MIXED: a malformed response passed for a whole one.
+#[parameterized(
+    status_zero = { "HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\nok" },
+    status_below = { "HTTP/1.1 099 X\r\ncontent-length: 2\r\n\r\nok" },
+    status_above = { "HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\nok" },
+    blank_in_a_name = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX Odd: 1\r\n\r\nok" },
+    blank_before_the_colon = { "HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\nok" },
+    blank_at_the_start = { "HTTP/1.1 200 OK\r\n X: 1\r\ncontent-length: 2\r\n\r\nok" },
+    folded_line = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX: 1\r\n 2\r\n\r\nok" },
+    control_byte_in_a_name = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX\x01: 1\r\n\r\nok" },
+    delete_in_a_name = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX\x7f: 1\r\n\r\nok" },
+    empty_name = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n: 1\r\n\r\nok" },
+    bare_carriage_return = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX: 1\rY: 2\r\n\r\nok" },
+    chunks_without_end = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\ncut" },
+    blank_in_a_trailer_name = {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n"
+    },
+)]
+fn malformed_response_is_lost(text: &'static str) {
+    task::block_on(async {
+        let address = serve(move |_, _| (Duration::ZERO, text.to_owned())).await;
+
+        let reply = exchange(address).await;
+
+        assert!(matches!(reply, Err(CallError::Lost(_))), "{reply:?}");
+    });
+}
+
+#[parameterized(
+    stated = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", 200, "ok" },
+    stated_twice = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 2\r\n\r\nok", 200, "ok" },
+    empty = { "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n", 404, "" },
+    chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok" },
+    no_content = { "HTTP/1.1 204 No Content\r\n\r\n", 204, "" },
+)]
+fn whole_response_is_returned(text: &'static str, status: u16, body: &str) {
+    task::block_on(async {
+        let address = serve(move |_, _| (Duration::ZERO, text.to_owned())).await;
+
+        let reply = exchange(address).await.unwrap();
+
+        assert_eq!(reply, (status, Bytes::from(body.to_owned())));
+    });
+}
--- a/crates/front/src/http/head.rs
+++ b/crates/front/src/http/head.rs
@@ -237,28 +237,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use yare::parameterized;
-
-    use super::ResponseHead;
-
-    // Guards against ORDER: any three digits passed for a status.
-    #[parameterized(
-        zero = { "000", "", false },
-        below = { "099", "", false },
-        interim = { "103", "", true },
-        final_interim = { "103", "Content-Length: 0\r\n", false },
-        chunked_interim = { "100", "Transfer-Encoding: chunked\r\n", false },
-        switching = { "101", "", false },
-        highest = { "599", "", true },
-        above = { "600", "", false },
-        far_above = { "999", "", false },
-    )]
-    fn only_statuses_that_exist_are_parsed(status: &str, header: &str, is_valid: bool) {
-        let text = format!("HTTP/1.1 {status} X\r\n{header}\r\n");
-
-        let parsed = ResponseHead::parse(text.as_bytes(), false);
-
-        assert_eq!(parsed.is_ok_and(|head| head.is_some()), is_valid);
-    }
-}
+mod tests;
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod faulty_responses;
 mod leaving_servers;
 mod long_bodies;
+mod malformed_heads;
 mod odd_entries;
 mod odd_names;
 mod pauses;
--- a/crates/host/tests/processes.rs
+++ b/crates/host/tests/processes.rs
@@ -7,6 +7,9 @@
 use amaranthshunt_support::{
     Deployment, DeploymentOptions, Load, LoadOptions, LoadReport, send_request,
 };
+use async_std::future::timeout;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpStream;
 use async_std::task;
 
 /// Serializes the tests, so that deployments do not slow each other down.
@@ -316,3 +319,41 @@
     assert!(text.contains("`colour` is not a known field"), "{text}");
     assert!(text.contains("`name` must be a string"), "{text}");
 }
+
+// Guards against requests that run though their heads have malformed lines.
+#[test]
+fn request_with_a_malformed_head_does_not_run() {
+    let lines = [
+        "X Odd: 1",
+        "X-Odd : 1",
+        " X-Odd: 1",
+        "X\0Odd: 1",
+        "X-Odd\u{7f}: 1",
+        ": 1",
+        "X: 1\rY: 2",
+    ];
+    let (successes, runs, served) = deploy(DeploymentOptions::one_region(), async |deployment| {
+        let host = deployment.caller_addresses()[0];
+        let before = deployment.journal.total();
+        let mut successes = Vec::new();
+        for line in lines {
+            let request = format!(
+                "POST /v1/catalogue/k HTTP/1.1\r\nhost: a\r\n{line}\r\ncontent-length: 2\r\n\r\nok"
+            );
+            let mut caller = TcpStream::connect(host).await.unwrap();
+            caller.write_all(request.as_bytes()).await.unwrap();
+            let mut start = [0; 10];
+            let count = timeout(Duration::from_secs(2), caller.read(&mut start)).await;
+            let start = &start[..count.map_or(0, Result::unwrap_or_default)];
+            if start.starts_with(b"HTTP/1.1 2") {
+                successes.push(line);
+            }
+        }
+        let runs = deployment.journal.total() - before;
+        let served = send_request(host, "/v1/catalogue/k", &[], "ok").await;
+        (successes, runs, served.unwrap())
+    });
+    assert_eq!(successes, Vec::<&str>::new());
+    assert_eq!(runs, 0);
+    assert_eq!(served.status, 200);
+}
