Own clients: take no interim response for the final one

What callers saw: an order that a server answered with 100, 101 or 103 came back with that status.

Cause: async-h1 reads one response and does not skip interim ones, and the client took any status for a final one.

Evidence: the three cases of interim_response_is_lost failed before and pass.

--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -62,13 +62,17 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`CallError::Lost`], also if the body has no certain length or is shorter than its
-    /// `Content-Length`.
+    /// Fails with [`CallError::Lost`], also if the response is an interim one, or if the body has no certain
+    /// length or is shorter than its `Content-Length`.
     pub async fn exchange(&self, request: Request) -> Result<Reply> {
         let to_lost = |error: http_types::Error| CallError::Lost(error.to_string());
         let mut response = async_h1::connect(self.stream.clone(), request)
             .await
             .map_err(to_lost)?;
+        if response.status().is_informational() {
+            // `async-h1` reads one response; the final one may still come.
+            return Err(CallError::Lost("interim response".to_owned()));
+        }
         if !has_certain_length(&response) {
             let reason = "the body has neither a single Content-Length nor chunks";
             return Err(CallError::Lost(reason.to_owned()));
--- a/crates/clients/tests/exchanges.rs
+++ b/crates/clients/tests/exchanges.rs
@@ -171,6 +171,22 @@
     });
 }
 
+// Guards against ORDER: an interim response passed for the final one.
+#[parameterized(
+    switching = { "HTTP/1.1 101 X\r\ncontent-length: 0\r\n\r\n" },
+    interim_only = { "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    interim_with_length = { "HTTP/1.1 100 Continue\r\ncontent-length: 2\r\n\r\nok" },
+)]
+fn interim_response_is_lost(text: &'static str) {
+    task::block_on(async {
+        let address = serve(move |_, _| (Duration::ZERO, text.to_owned())).await;
+
+        let reply = exchange(address).await;
+
+        assert!(matches!(reply, Err(CallError::Lost(_))), "{reply:?}");
+    });
+}
+
 #[parameterized(
     stated = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", 200, "ok" },
     stated_twice = { "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 2\r\n\r\nok", 200, "ok" },
