Reject messages in chunks with malformed trailers

What callers saw: a response that a server in trouble ended with trailers that were none (a blank or a control byte in a name, a bare carriage return) came as a sound one.

Cause: skip_trailers looked for an empty line and read nothing before it, so whatever came next on the connection passed for trailers.

Change: each trailer is parsed as a header, line by line; a malformed one makes the message malformed, as in a head.

--- a/crates/front/src/http/connection/chunks.rs
+++ b/crates/front/src/http/connection/chunks.rs
@@ -60,10 +60,14 @@
         }
     }
 
+    /// Reads the trailers, which are not passed on, to the end of the body.
     async fn skip_trailers(&mut self) -> Result<()> {
         let mut skipped = 0;
         loop {
             if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                if end > 0 && !is_header_line(&self.buffer[..end]) {
+                    return Err(HttpError::Malformed("trailer"));
+                }
                 self.buffer.advance(end + 2);
                 skipped += end + 2;
                 if end == 0 {
@@ -81,3 +85,13 @@
         }
     }
 }
+
+/// Whether a line, without its end, is a header.
+fn is_header_line(line: &[u8]) -> bool {
+    let section = [line, b"\r\n\r\n"].concat();
+    let mut header = [httparse::EMPTY_HEADER];
+    let parsed = httparse::parse_headers(&section, &mut header);
+    parsed.is_ok_and(|status| {
+        matches!(status, httparse::Status::Complete((length, _)) if length == section.len())
+    })
+}
--- a/crates/host/tests/platform/malformed_heads.rs
+++ b/crates/host/tests/platform/malformed_heads.rs
@@ -1,4 +1,4 @@
-//! Responses whose heads have malformed lines.
+//! Responses whose heads or trailers have malformed lines.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -34,6 +34,18 @@
     Last,
     /// The head of an interim response before the final one.
     Interim,
+    /// After the last chunk of the body.
+    Trailers,
+}
+
+/// A whole response in chunks, with trailers.
+fn chunked(whole: &str, trailers: &str) -> String {
+    whole
+        .replace("Content-Length: 2", "Transfer-Encoding: chunked")
+        .replace(
+            "\r\n\r\nok",
+            &format!("\r\n\r\n2\r\nok\r\n0\r\n{trailers}\r\n"),
+        )
 }
 
 fn malformed_response(id: &str, line: &str, place: Place) -> String {
@@ -41,6 +53,7 @@
     match place {
         Place::First => whole.replace("Request-Id", &format!("{line}\r\nRequest-Id")),
         Place::Last => whole.replace("\r\n\r\nok", &format!("\r\n{line}\r\n\r\nok")),
+        Place::Trailers => chunked(&whole, &format!("X-Sum: 1\r\n{line}\r\n")),
         Place::Interim => format!("HTTP/1.1 103 Early Hints\r\n{line}\r\n\r\n{whole}"),
     }
 }
@@ -67,6 +80,7 @@
     first = { "malformed-first", Place::First },
     last = { "malformed-last", Place::Last },
     interim = { "malformed-interim", Place::Interim },
+    trailers = { "malformed-trailers", Place::Trailers },
 )]
 fn malformed_head_of_a_request_that_must_not_repeat_becomes_502(name: &str, place: Place) {
     task::block_on(async {
@@ -124,3 +138,25 @@
         }
     });
 }
+
+#[test]
+fn response_with_sound_trailers_is_returned() {
+    task::block_on(async {
+        let script = |id: &str| ScriptedResponse {
+            pieces: vec![(
+                Duration::ZERO,
+                chunked(&success(id), "X-Sum: 1\r\nX-Empty:\r\n"),
+            )],
+            closes: false,
+        };
+        let (site, _server) =
+            scripted_site_with("sound-trailers", config(2, "/pay/"), script).await;
+
+        for number in 0..3 {
+            let id = format!("sound-{number}");
+            let response = ask(&site, Method::Post, "/pay/x", &id).await;
+            assert_eq!(status(&response), 200, "{id}");
+            assert_eq!(response.unwrap().body_string().await.unwrap(), "ok");
+        }
+    });
+}
