--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,16 @@
 use crate::deployment::{DOMAINS, Deployment};
 use crate::regions::RegionCut;
 
+/// Names under which another program may have written an entry.
+const ODD_NAMES: [&str; 6] = [
+    "odd-0",
+    "odd&Watch=5",
+    "odd #+",
+    "odd%zz",
+    "odd\r\n",
+    "öd?d",
+];
+
 /// Injects one random fault, or clears all of them, and returns a description.
 pub(crate) async fn inject_random_fault(
     deployment: &mut Deployment,
@@ -93,10 +103,13 @@
                 deployment.servers[server].note_odd_entry();
                 id
             } else {
-                format!("odd-{}", rng.random_range(0..4))
+                // The name may end a page of the list.
+                let pages = rng.random_range(1..8);
+                deployment.store.set_page_objects(pages);
+                ODD_NAMES[rng.random_range(0..ODD_NAMES.len())].to_owned()
             };
             deployment.store.put("servers", &name, spec, Value::Null);
-            format!("{name}: odd entry in the store")
+            format!("{name:?}: odd entry in the store")
         }
         13..=14 => {
             let faults = [
