Lists of the store: keep a page at a time, and of each object what is needed

What callers saw: no request was served while another program kept 24 entries of about 1 MB each among those of the servers.

Cause: a list kept all of its pages, and each object as a parsed value, whatever the object was. Only the text of a page is bounded by the store.

Change: an object's parts stay text that shares the memory of the page. A list passes its objects on one by one, and a receiver keeps what it needs: the fields of a server's entry, a name, an address. Fields are parsed without a value for the rest; that the rest can be parsed is still checked. The same holds for hosts, configurations and evacuations, and for watches.

--- a/crates/front/src/leadership.rs
+++ b/crates/front/src/leadership.rs
@@ -23,7 +23,6 @@
     RoutingTable, StoreRevision,
 };
 use amaranthshunt_core::log::EventCode;
-use amaranthshunt_platform as platform;
 use async_std::task;
 
 use crate::clock;
@@ -31,8 +30,8 @@
 use crate::lock::lock;
 use crate::messages::{Body, TableMessage};
 use crate::orders::{GRANT_TIMEOUT, OrderClient};
-use crate::registration::register;
-use crate::watch::{Consistency, list};
+use crate::registration::{read_hosts, register};
+use crate::watch::Consistency;
 use candidate::{
     Candidate, delay_candidacy, find_leaders_follower, follow_known_leader, follow_recorded_leader,
     follow_through,
@@ -316,13 +315,8 @@
 
 /// Reads the list of hosts again: some may have registered after this one read it.
 async fn refresh_members(host: Arc<EntryHost>, leader: Arc<LeaderState>) {
-    match list(&host, platform::HOSTS, Consistency::Strong).await {
-        Ok((objects, _)) => {
-            let hosts = objects.into_iter().filter_map(|object| {
-                let address = platform::read_host(&object.spec).ok()?;
-                Some((object.name, address))
-            });
-            let hosts: BTreeMap<String, SocketAddr> = hosts.collect();
+    match read_hosts(&host, Consistency::Strong).await {
+        Ok(hosts) => {
             lock(&leader.members).add_registered(hosts.keys().cloned());
             lock(&leader.addresses).extend(hosts);
         }
--- a/crates/front/src/leadership/record.rs
+++ b/crates/front/src/leadership/record.rs
@@ -5,6 +5,7 @@
 
 use amaranthshunt_core::front::{Placement, StoreRevision, first_term};
 use amaranthshunt_platform as platform;
+use bytes::Bytes;
 
 use crate::entry_host::EntryHost;
 use crate::store::StoreError;
@@ -100,9 +101,9 @@
     response.is_ok_and(|response| response.status == 200)
 }
 
-fn parse_record(body: &[u8]) -> Result<(Placement, u64), String> {
-    let object = platform::read_object(body)?;
-    let record = platform::read_placement(&object.spec)?;
+fn parse_record(body: &Bytes) -> Result<(Placement, u64), String> {
+    let object = platform::read_object(body.clone())?;
+    let record = platform::read_placement(&object.spec.to_value()?)?;
     Ok((record, object.revision))
 }
 
--- a/crates/front/src/registration.rs
+++ b/crates/front/src/registration.rs
@@ -19,23 +19,42 @@
 const ERA_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum random delay before a host registers again, so that not all do so at once.
 const MAX_DELAY: Duration = Duration::from_millis(1_000);
+/// Longest name of a host, in bytes; objects with longer ones are of other programs.
+const MAX_NAME_LENGTH: usize = 1 << 10;
+
+/// Reads the addresses of all registered hosts, by name.
+///
+/// # Errors
+///
+/// Fails as [`list`].
+pub(crate) async fn read_hosts(
+    host: &EntryHost,
+    consistency: Consistency,
+) -> store::Result<BTreeMap<String, SocketAddr>> {
+    let mut hosts = BTreeMap::new();
+    list(host, platform::HOSTS, consistency, |object| {
+        if object.name.len() <= MAX_NAME_LENGTH
+            && let Ok(address) = platform::read_host(&object.spec)
+        {
+            hosts.insert(object.name, address);
+        }
+    })
+    .await?;
+    Ok(hosts)
+}
 
 /// Registers the host in the store, and returns all registered hosts.
 pub(crate) async fn register(host: &EntryHost) -> BTreeMap<String, SocketAddr> {
     let name = &host.settings.name;
     loop {
-        let objects = match list(host, platform::HOSTS, Consistency::Stale).await {
-            Ok((objects, _)) => objects,
+        let hosts = match read_hosts(host, Consistency::Stale).await {
+            Ok(hosts) => hosts,
             Err(error) => {
                 log::warn!("cannot read the list of hosts: {error}");
                 task::sleep(RETRY_DELAY).await;
                 continue;
             }
         };
-        let registered = objects.iter().filter_map(|object| {
-            Some((object.name.clone(), platform::read_host(&object.spec).ok()?))
-        });
-        let hosts: BTreeMap<String, SocketAddr> = registered.collect();
         let count = hosts.len();
         host.with_router(|router, _| router.set_hosts(router.hosts().max(count)));
         if hosts.get(name) == Some(&host.settings.peers_address()) {
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -4,6 +4,7 @@
 //! receive changes in time. See `docs/platform-path.md`, "Store calls".
 
 mod entries;
+mod lists;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -18,7 +19,9 @@
 use crate::entry_host::EntryHost;
 use crate::messages::{Body, EntryMessage, StoreUpdate};
 use crate::store::{StoreError, StoreResponse};
-use entries::{apply_server_changes, read_entries};
+use entries::apply_server_changes;
+use lists::ListedObjects;
+pub(crate) use lists::{Consistency, list};
 
 /// The kinds of store objects that are followed.
 pub(crate) const KINDS: [Kind; 3] = [platform::CONFIG, platform::SERVERS, platform::EVACUATIONS];
@@ -148,55 +151,6 @@
     host.call_store("GET", path, &[], wait).await
 }
 
-/// How current the result of a read has to be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Consistency {
-    /// Everything that the store has acknowledged.
-    Strong,
-    /// It may be some seconds old; such a read costs a tenth.
-    Stale,
-}
-
-/// Reads all objects of a kind, and the revision from which to watch for changes.
-///
-/// # Errors
-///
-/// Fails as a call does, or if a page starts where an earlier one did.
-pub(crate) async fn list(
-    host: &EntryHost,
-    kind: Kind,
-    consistency: Consistency,
-) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
-    let mut objects = Vec::new();
-    let mut after: Option<Vec<u8>> = None;
-    let mut starts = BTreeSet::new();
-    let mut first_revision = None;
-    loop {
-        let mut path = platform::list_path(kind, after.as_deref());
-        if consistency == Consistency::Stale {
-            path = platform::stale_path(&path);
-        }
-        let response = store_get(host, &path, Duration::ZERO).await?;
-        let page = platform::read_list(&response.body).map_err(StoreError::Unknown)?;
-        objects.extend(page.objects);
-        // A watch from the first page's revision reports the changes made between two pages.
-        let page_revision = response.revision(page.revision);
-        let revision = *first_revision.get_or_insert(page_revision);
-        if revision.era() != page_revision.era() {
-            let reason = "the store was restored between two pages".to_owned();
-            return Err(StoreError::Unknown(reason));
-        }
-        match page.next_after {
-            Some(name) if starts.insert(name.clone()) => after = Some(name),
-            Some(_) => {
-                let reason = format!("two pages of {kind} start after the same name");
-                return Err(StoreError::Unknown(reason));
-            }
-            None => return Ok((objects, revision)),
-        }
-    }
-}
-
 async fn read_all(host: &EntryHost, kind: Kind) -> Result<(), StoreError> {
     let known = host.freshness(kind);
     let is_first_read = known.is_unread();
@@ -207,11 +161,11 @@
     } else {
         Consistency::Strong
     };
-    let (mut objects, mut revision) = list(host, kind, consistency).await?;
+    let (mut listed, mut revision) = ListedObjects::read(host, kind, consistency).await?;
     if consistency == Consistency::Stale && revision.era() > FIRST_ERA {
         // A stale read of a store that has been restored may show another history.
         consistency = Consistency::Strong;
-        (objects, revision) = list(host, kind, consistency).await?;
+        (listed, revision) = ListedObjects::read(host, kind, consistency).await?;
     }
     if host.freshness(kind).is_outdated(revision) {
         return Ok(());
@@ -225,12 +179,11 @@
     let mut servers = ServerChanges::default();
     let change = match kind {
         platform::SERVERS => {
-            let (entries, unreadable) = read_entries(host, &objects);
             servers = host.with_router(|router, now| {
-                router.replace_servers(now, entries.clone(), &unreadable)
+                router.replace_servers(now, listed.entries.clone(), &listed.unreadable)
             });
             if is_new_era {
-                servers.entries = entries;
+                servers.entries = listed.entries;
             }
             host.set_servers_read();
             // Objects removed before the first read are not listed, so the first read always
@@ -238,21 +191,16 @@
             (must_relay || !servers.is_empty()).then_some(revision)
         }
         platform::CONFIG => {
-            let configs = objects
-                .iter()
-                .filter(|object| object.name == platform::CONFIG_NAME);
-            for object in configs {
+            if let Some(object) = &listed.config {
                 apply_config(host, object);
             }
-            let change = objects.iter().map(|object| object.revision).max();
+            let change = listed.latest_change;
             change.map(|number| StoreRevision::new(revision.era(), number))
         }
         _ => {
-            let names = objects.iter().map(|object| object.name.clone());
-            let domains: BTreeSet<String> = names.filter(|name| platform::is_name(name)).collect();
             let changed = host.with_router(|router, now| {
-                let changed = router.listed_evacuations() != &domains;
-                router.set_evacuated(now, domains);
+                let changed = router.listed_evacuations() != &listed.domains;
+                router.set_evacuated(now, listed.domains);
                 changed
             });
             host.set_evacuations_read();
@@ -322,7 +270,8 @@
         host.update_freshness(kind, |freshness, _| freshness.record_history_lost());
         return Ok(Fetched::HistoryLost);
     }
-    let (changes, to) = platform::read_changes(&response.body).map_err(StoreError::Unknown)?;
+    let (changes, to) =
+        platform::read_changes(response.body.clone()).map_err(StoreError::Unknown)?;
     let to = response.revision(to);
     if to.era() != from.era() {
         // The watch began in one history and was answered from another.
@@ -468,7 +417,8 @@
 }
 
 fn apply_config(host: &EntryHost, object: &StoreObject) {
-    match platform::read_config(&object.spec) {
+    let spec = object.spec.to_value();
+    match spec.and_then(|spec| platform::read_config(&spec)) {
         Ok(ParsedConfig { config, findings }) => {
             let version = format!("r{}", config.version);
             let routes = config.routes().count();
--- a/crates/front/src/watch/entries.rs
+++ b/crates/front/src/watch/entries.rs
@@ -34,26 +34,8 @@
     servers
 }
 
-/// The entries that can be read, and the names of the others.
-pub(super) fn read_entries(
-    host: &EntryHost,
-    objects: &[StoreObject],
-) -> (Vec<ServerEntry>, Vec<Arc<str>>) {
-    let mut entries = Vec::new();
-    let mut unreadable = Vec::new();
-    for object in objects {
-        match read_entry(host, object) {
-            Some(entry) => entries.push(entry),
-            None if platform::is_server_id(&object.name) => {
-                unreadable.push(Arc::from(object.name.as_str()));
-            }
-            None => {}
-        }
-    }
-    (entries, unreadable)
-}
-
-fn read_entry(host: &EntryHost, object: &StoreObject) -> Option<ServerEntry> {
+/// The entry in an object; `None` if it describes no server.
+pub(super) fn read_entry(host: &EntryHost, object: &StoreObject) -> Option<ServerEntry> {
     match platform::read_server(object) {
         Ok(entry) if host.settings.is_own_address(entry.address) => {
             let detail = "it has an address of this host";
--- /dev/null
+++ b/crates/host/tests/platform/large_entries.rs
@@ -0,0 +1,81 @@
+//! Large entries that another program keeps in the store.
+
+use std::net::SocketAddr;
+
+use amaranthshunt_support::free_address;
+use async_std::task;
+use http_types::Method;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+use crate::endless::peak_memory_mb;
+use crate::site::{
+    MEMORY_MB, Site, ask, settings, spawn, start_site_without_host, status, wait_until,
+};
+
+/// Text that the store's view replaces by the large part.
+const PLACEHOLDER: &str = "@large@";
+/// Entries of the other program.
+const ENTRIES: usize = 24;
+/// Length of an entry in bytes, just below that of the longest object which the store takes.
+const ENTRY_LENGTH: usize = 1_040_000;
+
+/// An array of the same text over and over, of about [`ENTRY_LENGTH`] bytes.
+fn array_of(element: &str) -> String {
+    let count = ENTRY_LENGTH / (element.len() + 1);
+    format!("[{}]", vec![element; count].join(","))
+}
+
+/// A site without a host, and the address of a view of its store that has the large part in place of
+/// [`PLACEHOLDER`]. A page of the store has room for one large entry.
+async fn start_store(name: &str, large: &str) -> (Site, SocketAddr) {
+    let site = start_site_without_host(name).await;
+    site.store.set_page_objects(1);
+    let view = free_address();
+    let translation = (format!("\"{PLACEHOLDER}\""), large.to_owned());
+    let served = site.store.serve_translated(view, vec![translation]).await;
+    served.unwrap();
+    (site, view)
+}
+
+/// Starts a host that reads the store at an address, and waits until it serves.
+async fn start_host(site: &mut Site, store: SocketAddr) {
+    let text = settings(store, site.callers, site.ready);
+    site.child = Some(spawn(&site.folder, &text));
+    wait_until("the host serves", async || {
+        let paid = ask(site, Method::Post, "/pay/x", "paid").await;
+        let read = ask(site, Method::Get, "/read/x", "read").await;
+        [status(&paid), status(&read)] == [200, 200]
+    })
+    .await;
+}
+
+fn put_large_entries(site: &Site, kind: &str) {
+    for number in 0..ENTRIES {
+        let spec = json!({ "Manifest": PLACEHOLDER });
+        site.store
+            .put(kind, &format!("large-{number:02}"), spec, Value::Null);
+    }
+}
+
+// Guards against Fault: entries of another program took hosts over their memory at each start, since all
+// pages of a list were kept as parsed values.
+#[parameterized(
+    numbers_among_servers = { "servers", "0" },
+    objects_among_servers = { "servers", r#"{"a":1}"# },
+    numbers_among_configurations = { "config", "0" },
+    numbers_among_evacuations = { "evacuations", "0" },
+    numbers_among_hosts = { "hosts", "0" },
+)]
+fn host_starts_within_its_memory_beside_large_entries(kind: &str, element: &str) {
+    task::block_on(async {
+        let name = format!("large-start-{kind}-{}", element.len());
+        let (mut site, view) = start_store(&name, &array_of(element)).await;
+        put_large_entries(&site, kind);
+
+        start_host(&mut site, view).await;
+
+        let peak = peak_memory_mb(site.process_id());
+        assert!(peak < MEMORY_MB, "{peak} MB");
+    });
+}
--- a/crates/host/tests/platform/main.rs
+++ b/crates/host/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod early_responses;
 mod endless;
 mod faulty_responses;
+mod large_entries;
 mod leaving_servers;
 mod long_bodies;
 mod malformed_heads;
