Relay unreadable entries of known servers only

Cause: a leader relayed the names of all entries that cannot be read, and each host kept them while it read a list. Hosts need such a name only to keep a server that they know for a moment. Above 1 MB the message exceeds the limit of a frame, so the connections of all followers were closed.

Evidence: followers_are_told_of_changes_beside_any_number_of_odd_entries writes 5,000 entries with names of 250 bytes four times.

Change: names of entries that cannot be read are dropped unless a server of that name is known, so they are bounded by the number of servers.

--- a/crates/core/src/front/router/entries.rs
+++ b/crates/core/src/front/router/entries.rs
@@ -74,10 +74,15 @@
         self.log_event(EventCode::ServerGone, &*id, reason);
     }
 
+    /// Whether a server with an identifier is known.
+    pub fn is_known_server(&self, id: &str) -> bool {
+        self.servers.find(id).is_some()
+    }
+
     /// Handles an entry that cannot be read. A server that is known by an earlier one goes on for a
     /// moment, in which its next heartbeat mends the entry.
     pub fn keep_unreadable_server(&mut self, now: Time, id: &str) {
-        if self.servers.find(id).is_some() {
+        if self.is_known_server(id) {
             let deadline = now + UNREADABLE_GRACE;
             self.unreadable.entry(Arc::from(id)).or_insert(deadline);
         }
--- a/crates/core/src/front/servers.rs
+++ b/crates/core/src/front/servers.rs
@@ -62,7 +62,7 @@
     pub entries: Vec<ServerEntry>,
     /// Identifiers of removed entries.
     pub removed: Vec<Arc<str>>,
-    /// Identifiers of entries that cannot be read at present.
+    /// Identifiers of known servers whose entries cannot be read at present.
     pub unreadable: Vec<Arc<str>>,
 }
 
--- a/crates/front/src/watch/entries.rs
+++ b/crates/front/src/watch/entries.rs
@@ -26,7 +26,8 @@
             None if change.deleted || !platform::is_server_id(id) => {
                 servers.removed.push(Arc::from(id));
             }
-            None => servers.unreadable.push(Arc::from(id)),
+            None if is_known_server(host, id) => servers.unreadable.push(Arc::from(id)),
+            None => {}
         }
     }
     let changes = servers.clone();
@@ -34,6 +35,12 @@
     servers
 }
 
+/// Whether a server is known. Other entries that cannot be read concern nobody, and there may be any number
+/// of them.
+pub(super) fn is_known_server(host: &EntryHost, id: &str) -> bool {
+    host.with_router(|router, _| router.is_known_server(id))
+}
+
 /// The entry in an object; `None` if it describes no server.
 pub(super) fn read_entry(host: &EntryHost, object: &StoreObject) -> Option<ServerEntry> {
     match platform::read_server(object) {
--- a/crates/front/src/watch/lists.rs
+++ b/crates/front/src/watch/lists.rs
@@ -7,7 +7,7 @@
 use amaranthshunt_core::front::{ServerEntry, StoreRevision};
 use amaranthshunt_platform::{self as platform, Kind, StoreObject};
 
-use super::entries::read_entry;
+use super::entries::{is_known_server, read_entry};
 use super::store_get;
 use crate::entry_host::EntryHost;
 use crate::store::StoreError;
@@ -70,7 +70,7 @@
 pub(super) struct ListedObjects {
     /// Entries of servers.
     pub(super) entries: Vec<ServerEntry>,
-    /// Identifiers of servers whose entries cannot be read.
+    /// Identifiers of known servers whose entries cannot be read.
     pub(super) unreadable: Vec<Arc<str>>,
     /// The operator's configuration.
     pub(super) config: Option<StoreObject>,
@@ -100,7 +100,7 @@
         match kind {
             platform::SERVERS => match read_entry(host, &object) {
                 Some(entry) => self.entries.push(entry),
-                None if platform::is_server_id(&object.name) => {
+                None if is_known_server(host, &object.name) => {
                     self.unreadable.push(Arc::from(object.name));
                 }
                 None => {}
--- a/crates/host/tests/platform/odd_entries.rs
+++ b/crates/host/tests/platform/odd_entries.rs
@@ -22,6 +22,9 @@
 /// The same of a host that the leader tells of changes.
 const FOLLOWER_CALL_LIMIT: u64 = 3;
 
+/// Odd entries whose names together are longer than a message between hosts.
+const MANY_ENTRIES: usize = 5_000;
+
 /// A store whose view has the odd part in place of [`PLACEHOLDER`], and a host that reads it there.
 async fn start(name: &str, odd: &str, first: impl Fn(&Site)) -> (Site, SecondHost) {
     let site = start_site_without_host(name).await;
@@ -139,6 +142,36 @@
     });
 }
 
+// Guards against followers that are cut off from the leader, since it relays the name of every odd entry.
+#[test]
+fn followers_are_told_of_changes_beside_any_number_of_odd_entries() {
+    task::block_on(async {
+        let (site, leader) = start("odd-many-leader", "7", |_| ()).await;
+        let follower = add_host_at("odd-many-follower", site.store.address(), "host-2").await;
+        let before = store_calls(&follower).await;
+
+        for round in 0..4 {
+            for number in 0..MANY_ENTRIES {
+                let name = format!("{number:0>250}");
+                site.store
+                    .put("servers", &name, json!({ "Round": round }), Value::Null);
+            }
+            task::sleep(PROPAGATION_LIMIT).await;
+        }
+        let calls = store_calls(&follower).await - before;
+        site.servers[1].set_draining(true);
+        task::sleep(PROPAGATION_LIMIT).await;
+        let mut statuses = Vec::new();
+        for host in [&leader, &follower] {
+            let paid = send(host.callers, Method::Post, "/pay/x", "paid").await;
+            statuses.push(status(&paid));
+        }
+
+        assert_eq!(statuses, [503, 503]);
+        assert!(calls <= FOLLOWER_CALL_LIMIT, "{calls} calls");
+    });
+}
+
 // Guards against a good server that is dropped, with its keys, because its entry was odd for a moment.
 #[parameterized(
     unreadable = { "unreadable", "1e999" },
