Store: give up a response that stalls, not one that takes long

What callers saw: a host that starts behind a slow link beside large entries never serves.

Cause: a response that had begun had to be complete within 1.5 s, whatever its length. A page of 1 MB takes 0.8 s on a link of 10 Mbit/s that carries nothing else, and over 1.5 s on half of it. A list begins again with its first page after a failure, so it was never complete.

Evidence: host_starts_on_a_slow_link_beside_large_entries, four entries of 1 MB at about 5 Mbit/s.

Change: 1.5 s is the time without a byte, so an outage in the middle of a response is noticed as early as before. A response that makes progress has 10 s.

--- a/crates/front/src/http/connection.rs
+++ b/crates/front/src/http/connection.rs
@@ -1,8 +1,9 @@
 //! A TCP connection with a read buffer.
 
 mod chunks;
+mod timed;
 
-use std::future::{Future, poll_fn};
+use std::future::poll_fn;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::{Pin, pin};
@@ -24,6 +25,7 @@
 use super::head::{Framing, RequestHead, ResponseHead};
 use super::reception::Reception;
 use super::writer::{ConnectionWriter, write_message};
+pub(crate) use timed::within;
 
 /// Size of a single read, in bytes.
 const READ_SIZE: usize = 4 << 10;
@@ -53,6 +55,8 @@
     has_requests: bool,
     /// The error of a write, which reads do not report again.
     write_error: Option<io::ErrorKind>,
+    /// Time within which a read must return.
+    read_timeout: Option<Duration>,
 }
 
 impl Connection {
@@ -68,6 +72,7 @@
             slot: None,
             has_requests: false,
             write_error: None,
+            read_timeout: None,
         }
     }
 
@@ -130,13 +135,19 @@
             async_std::task::yield_now().await;
         }
         // The piece lies on the stack of each poll, so that a waiting task holds no room for it.
-        let count = poll_fn(|context| {
+        let read = poll_fn(|context| {
             let mut piece = [0; READ_SIZE];
             let count = ready!(Pin::new(&mut &self.stream).poll_read(context, &mut piece))?;
             self.buffer.extend_from_slice(&piece[..count]);
             Poll::Ready(io::Result::Ok(count))
-        })
-        .await?;
+        });
+        let count = match self.read_timeout {
+            Some(limit) => {
+                let read = timeout(limit, read).await;
+                read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??
+            }
+            None => read.await?,
+        };
         if let Some(reception) = &self.reception {
             reception.note_progress();
         }
@@ -462,18 +473,3 @@
         Err(HttpError::OutOfMemory)
     }
 }
-
-/// Sets a timeout on an operation of a connection.
-///
-/// # Errors
-///
-/// Fails with a timeout, or as the operation does.
-pub(crate) async fn within<T>(
-    limit: Duration,
-    operation: impl Future<Output = Result<T>>,
-) -> Result<T> {
-    match timeout(limit, operation).await {
-        Ok(result) => result,
-        Err(_) => Err(HttpError::Io(io::ErrorKind::TimedOut.into())),
-    }
-}
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -21,8 +21,10 @@
 /// A call that an outage has swallowed must end, and be repeated, well within the 4 s after the
 /// outage in which a host has to become current again.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time within which a response that has begun has to be complete.
-const BODY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a byte after which a response that has begun is given up.
+const BODY_STALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time within which a response that has begun has to be complete, even on a slow link that it shares.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest response body that is read, in bytes: several pages of a list, which have about 1 MB. The changes
@@ -223,7 +225,8 @@
         {
             return Err(unknown("no memory for a response".to_owned()));
         }
-        let body = connection.read_body(head.framing, RESPONSE_BODY_LIMIT, &mut account);
+        let (framing, limit) = (head.framing, RESPONSE_BODY_LIMIT);
+        let body = connection.read_steady_body(BODY_STALL_LIMIT, framing, limit, &mut account);
         let body = within(BODY_TIMEOUT, body)
             .await
             .map_err(|error| match error {
--- a/crates/host/tests/platform/large_entries.rs
+++ b/crates/host/tests/platform/large_entries.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranthshunt_support::free_address;
+use amaranthshunt_support::platform::{FaultProxy, LinkFault};
 use async_std::task;
 use http_types::Method;
 use serde_json::{Value, json};
@@ -22,6 +23,8 @@
 /// Length of an entry in bytes, just below that of the longest object which the store takes.
 const ENTRY_LENGTH: usize = 1_040_000;
 
+/// About 5 Mbit/s, half of a link of 10 Mbit/s: the proxy passes on 4 KiB at a time.
+const SLOW_LINK: LinkFault = LinkFault::Delay(6);
 /// Time within which hosts apply what the store says.
 const PROPAGATION_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -85,6 +88,20 @@
     });
 }
 
+// Guards against RECOVER: a host whose link its callers and servers share read a page for longer than a response
+// might take, and began again with the first one.
+#[test]
+fn host_starts_on_a_slow_link_beside_large_entries() {
+    task::block_on(async {
+        let (mut site, view) = start_store("large-slow", &array_of("0")).await;
+        put_large_entries(&site, "servers", 4);
+        let link = FaultProxy::start(free_address(), view).await.unwrap();
+        link.set_fault(SLOW_LINK);
+
+        start_host(&mut site, link.address()).await;
+    });
+}
+
 // Guards against Fault: the changes since the last one that a host knew took it over its memory. Above 64 MiB
 // against CONFIG and requests to servers that leave: it did not read them, and asked for them again and again.
 #[parameterized(
