--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -176,6 +176,7 @@
         json!({ "Address": "127.0.0.1:70000", "born": u64::MAX, "Info": info }),
         json!({ "Address": "127.0.0.1:0", "born": -1.5, "Info": { "Slots": u64::MAX } }),
         json!({ "Address": "x".repeat(100_000), "Info": info }),
+        json!({ "Manifest": vec![0; 50_000] }),
     ];
     let number = rng.random_range(0..values.len());
     values[number].clone()
