--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -3,7 +3,6 @@
 
 mod born;
 mod evacuation;
-mod orders;
 mod poison;
 mod site;
 mod upstream;
@@ -28,7 +27,6 @@
     let record = site::Record::new();
     record.add(format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
-        "orders" => orders::run(&record, trouble),
         "poison" => poison::run(&record, trouble),
         "evacuation" => evacuation::run(&record, trouble),
         "born" => born::run(&record, trouble),
